--- /dev/null
+++ b/bench/sim.c
@@ -0,0 +1,632 @@
+/* Small fake targets under virtual time, driven by the real engine. */
+#include "sim.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <gsl/gsl_randist.h>
+
+#define LOCAL_TRANSIT (100 * LR_MICROSECOND)
+#define REMOTE_TRANSIT (500 * LR_MICROSECOND)
+#define CONNECT_REFUSED (200 * LR_MICROSECOND)
+#define CRASH_AFTER LR_MILLISECOND
+#define RESTART_AFTER (300 * LR_MILLISECOND)
+#define COLD_FACTOR 5.0
+
+enum { MAX_QUEUE = 60, CALLER_POISON = 1 };
+
+/* Body of an answer: which shard and index it really came from. */
+typedef struct {
+    size_t request;
+    size_t group;
+    int64_t version;
+} Evidence;
+
+static LrTime
+draw_service(SimTarget *target)
+{
+    Sim *sim = target->sim;
+    double ns = (double)sim->size->median *
+                gsl_ran_lognormal(target->rng, 0, sim->size->sigma);
+    double draw = gsl_rng_uniform(target->rng);
+    if (draw < sim->slow_request_share) {
+        ns *= sim->slow_request_factor;
+    }
+    return (LrTime)ns;
+}
+
+static double
+mean_service(const Sim *sim)
+{
+    double sigma = sim->size->sigma;
+    return (double)sim->size->median * exp(sigma * sigma / 2);
+}
+
+double
+Sim_Capacity(const Sim *sim)
+{
+    double places = (double)sim->size->n_replicas * sim->size->slots;
+    return places / mean_service(sim) * (double)LR_SECOND;
+}
+
+static LrTime
+transit(const Sim *sim, const SimTarget *target)
+{
+    size_t replica = (size_t)(target - sim->targets) % sim->size->n_replicas;
+    return replica == 0 ? LOCAL_TRANSIT : REMOTE_TRANSIT;
+}
+
+static void settle(Sim *sim);
+
+static void
+free_job(SimJob *job)
+{
+    LrTimers_Clear(job->sim->timers, &job->timer);
+    if (job->arrived && !job->answered) {
+        SimTarget *target = job->target;
+        if (job->running) {
+            TAILQ_REMOVE(&target->running, job, of_target);
+            target->n_running--;
+        }
+        else {
+            TAILQ_REMOVE(&target->queued, job, of_target);
+            target->n_queued--;
+        }
+    }
+    if (job->reply.body) {
+        g_bytes_unref(job->reply.body);
+    }
+    g_hash_table_remove(job->sim->jobs, &job->attempt);
+    g_free(job);
+}
+
+static void
+deliver(void *data, LrTime now)
+{
+    SimJob *job = data;
+    Sim *sim = job->sim;
+    if (now < sim->paused_until) {
+        LrTimers_Set(sim->timers, &job->timer, sim->paused_until);
+        return;
+    }
+    LrEngine_Advance(sim->engine, now);
+    LrEngine_OnReply(sim->engine, now, job->attempt, &job->reply);
+    free_job(job);
+    settle(sim);
+}
+
+/* Sends the reply on its way back; the job has left its target. */
+static void
+answer(SimJob *job, LrReplyStatus status, LrTime delay)
+{
+    SimTarget *target = job->target;
+    Sim *sim = job->sim;
+    if (job->running) {
+        TAILQ_REMOVE(&target->running, job, of_target);
+        target->n_running--;
+    }
+    else if (job->arrived) {
+        TAILQ_REMOVE(&target->queued, job, of_target);
+        target->n_queued--;
+    }
+    job->answered = true;
+    job->reply.status = status;
+    job->reply.draining = target->draining;
+    job->reply.load = (LrLoadReport){
+        .present = true,
+        .running = target->n_running,
+        .queued = target->lie >= 0 ? target->lie : target->n_queued,
+    };
+    if (status == LR_REPLY_OK) {
+        Evidence evidence = {.request = job->request,
+                             .group = job->group,
+                             .version = job->version};
+        job->reply.version = job->version;
+        job->reply.body = g_bytes_new(&evidence, sizeof(evidence));
+    }
+    job->timer.func = deliver;
+    LrTimers_Set(sim->timers, &job->timer,
+                 sim->now + delay + transit(sim, target));
+}
+
+static void start_next(SimTarget *target);
+
+static void
+on_served(void *data, LrTime now)
+{
+    (void)now;
+    SimJob *job = data;
+    SimTarget *target = job->target;
+    answer(job, LR_REPLY_OK, 0);
+    start_next(target);
+}
+
+static void
+on_crash(void *data, LrTime now)
+{
+    (void)now;
+    SimJob *job = data;
+    SimTarget *target = job->target;
+    target->back_at = job->sim->now + RESTART_AFTER;
+    Sim_Kill(target);
+    target->dead = false;
+}
+
+static void
+start_job(SimJob *job)
+{
+    SimTarget *target = job->target;
+    Sim *sim = job->sim;
+    SimRequest *request =
+        &g_array_index(sim->requests, SimRequest, job->request);
+    request->n_runs++;
+    target->last_new_work = sim->now;
+    job->running = true;
+    TAILQ_REMOVE(&target->queued, job, of_target);
+    target->n_queued--;
+    TAILQ_INSERT_TAIL(&target->running, job, of_target);
+    target->n_running++;
+    if (job->poisonous) {
+        sim->result.poison_runs++;
+        job->timer.func = on_crash;
+        LrTimers_Set(sim->timers, &job->timer, sim->now + CRASH_AFTER);
+        return;
+    }
+    double factor = target->slow;
+    if (target->n_cold > 0) {
+        target->n_cold--;
+        factor *= COLD_FACTOR;
+    }
+    job->timer.func = on_served;
+    LrTimers_Set(sim->timers, &job->timer,
+                 sim->now + (LrTime)((double)job->service * factor));
+}
+
+static void
+start_next(SimTarget *target)
+{
+    while (target->n_running < target->sim->size->slots &&
+           !TAILQ_EMPTY(&target->queued)) {
+        start_job(TAILQ_FIRST(&target->queued));
+    }
+}
+
+static void
+on_arrive(void *data, LrTime now)
+{
+    SimJob *job = data;
+    SimTarget *target = job->target;
+    if (target->dead || target->back_at > now) {
+        answer(job, LR_REPLY_CONNECT_FAILED, CONNECT_REFUSED);
+        return;
+    }
+    job->arrived = true;
+    TAILQ_INSERT_TAIL(&target->queued, job, of_target);
+    target->n_queued++;
+    if (job->version < target->gone_before) {
+        answer(job, LR_REPLY_VERSION_GONE, 0);
+    }
+    else if (target->n_queued > MAX_QUEUE) {
+        answer(job, LR_REPLY_SHED, 0);
+    }
+    else {
+        start_next(target);
+    }
+}
+
+void
+Sim_Kill(SimTarget *target)
+{
+    target->dead = true;
+    struct SimJobList *lists[] = {&target->running, &target->queued};
+    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+        while (!TAILQ_EMPTY(lists[i])) {
+            answer(TAILQ_FIRST(lists[i]), LR_REPLY_BROKEN, 0);
+        }
+    }
+}
+
+static void
+note_schedule(SimTarget *target, LrTime now, LrTime service)
+{
+    int best = 0;
+    for (int i = 1; i < target->sim->size->slots; i++) {
+        if (target->slot_free[i] < target->slot_free[best]) {
+            best = i;
+        }
+    }
+    LrTime start = MAX(now, target->slot_free[best]);
+    target->slot_free[best] =
+        start + (LrTime)((double)service * target->slow);
+}
+
+static void
+send_job(Sim *sim, const LrAction *action)
+{
+    SimTarget *target = g_hash_table_lookup(sim->by_address,
+                                            action->target->address.ptr);
+    LrStr body = LrStr_FromBytes(action->body);
+    const uint64_t *words = (const uint64_t *)(const void *)body.ptr;
+    SimJob *job = g_new0(SimJob, 1);
+    job->sim = sim;
+    job->target = target;
+    job->attempt = action->attempt;
+    job->request = words[0];
+    job->poisonous = words[1] == CALLER_POISON;
+    job->version = action->version;
+    job->group = (size_t)strtoul(action->shard.ptr + 1, NULL, 10);
+    job->service = target->next_service;
+    target->next_service = draw_service(target);
+    note_schedule(target, sim->now, job->service);
+    job->timer = (LrTimer){.func = on_arrive, .data = job};
+    g_hash_table_insert(sim->jobs, &job->attempt, job);
+    LrTimers_Set(sim->timers, &job->timer,
+                 sim->now + transit(sim, target));
+}
+
+static void
+on_cancelled(void *data, LrTime now)
+{
+    (void)now;
+    SimJob *job = data;
+    SimTarget *target = job->target;
+    free_job(job);
+    start_next(target);
+}
+
+/* The cancellation takes as long as any message. A job that answered
+ * already, or that has not arrived yet, ends where it is. */
+static void
+cancel_job(Sim *sim, uint64_t attempt)
+{
+    SimJob *job = g_hash_table_lookup(sim->jobs, &attempt);
+    if (!job) {
+        return;
+    }
+    LrTime due = sim->now + transit(sim, job->target);
+    if (job->running && job->timer.due < due) {
+        return;
+    }
+    if (job->answered || !job->arrived) {
+        free_job(job);
+        return;
+    }
+    job->timer.func = on_cancelled;
+    LrTimers_Set(sim->timers, &job->timer, due);
+}
+
+static void
+check_parts(Sim *sim, const LrAnswer *got, size_t request)
+{
+    SimResult *result = &sim->result;
+    size_t n_true = 0;
+    int64_t version = 0;
+    bool mixed = false;
+    bool wrong = false;
+    for (size_t i = 0; i < got->n_parts; i++) {
+        const LrAnswerPart *part = &got->parts[i];
+        if (part->reason != LR_REASON_NONE) {
+            continue;
+        }
+        const Evidence *evidence = g_bytes_get_data(part->body, NULL);
+        n_true++;
+        wrong |= evidence->request != request || evidence->group != i;
+        mixed |= version && version != evidence->version;
+        version = evidence->version;
+    }
+    wrong |= n_true != got->n_answered;
+    wrong |= got->outcome == LR_OUTCOME_COMPLETE && n_true != got->n_parts;
+    result->false_coverage += wrong;
+    result->mixed_snapshot += mixed || (version && version != got->version);
+    result->n_parts += got->n_parts;
+    result->n_parts_answered += got->n_answered;
+}
+
+static void
+take_answer(Sim *sim, const LrAnswer *got)
+{
+    SimResult *result = &sim->result;
+    size_t index = GPOINTER_TO_SIZE(got->data) - 1;
+    const SimRequest *request =
+        &g_array_index(sim->requests, SimRequest, index);
+    if (got->outcome == LR_OUTCOME_NOT_RUN) {
+        result->n_refused++;
+        result->wrong_not_run += request->n_runs > 0;
+    }
+    if (got->reason == LR_REASON_QUARANTINED && !request->poisonous) {
+        result->innocent_quarantined++;
+    }
+    if (got->outcome == LR_OUTCOME_NOT_RUN || request->poisonous) {
+        return;
+    }
+    check_parts(sim, got, index);
+    double ms = (double)(sim->now - request->sent_at) /
+                (double)LR_MILLISECOND;
+    result->n_answers++;
+    bool useful = got->outcome == LR_OUTCOME_COMPLETE;
+    result->n_useful += useful;
+    g_array_append_val(result->latencies, ms);
+    if (request->urgent) {
+        result->n_urgent_useful += useful;
+        g_array_append_val(result->urgent_latencies, ms);
+    }
+}
+
+static void
+settle(Sim *sim)
+{
+    LrAction action;
+    while (LrEngine_NextAction(sim->engine, &action)) {
+        switch (action.kind) {
+        case LR_ACTION_SEND:
+            send_job(sim, &action);
+            break;
+        case LR_ACTION_CANCEL:
+            cancel_job(sim, action.attempt);
+            break;
+        case LR_ACTION_ANSWER:
+            take_answer(sim, action.answer);
+            LrAnswer_Free(action.answer);
+            break;
+        }
+    }
+}
+
+static void
+submit_request(Sim *sim, LrTime now)
+{
+    SimRequest request = {
+        .sent_at = now,
+        .urgent = gsl_rng_uniform(sim->rng) < sim->urgent_share,
+        .poisonous = gsl_rng_uniform(sim->rng) < sim->poison_share,
+    };
+    size_t index = sim->requests->len;
+    g_array_append_val(sim->requests, request);
+    uint64_t words[2] = {request.poisonous ? 0 : index,
+                         request.poisonous ? CALLER_POISON : 0};
+    GBytes *body = g_bytes_new(words, sizeof(words));
+    LrRequest ask = {
+        .entry = LrStr_FromC(request.urgent ? "urgent" : "routine"),
+        .body = body,
+        .data = GSIZE_TO_POINTER(index + 1),
+    };
+    LrEngine_Submit(sim->engine, now, &ask);
+    g_bytes_unref(body);
+}
+
+static void
+on_arrival(void *data, LrTime now)
+{
+    Sim *sim = data;
+    if (now >= sim->end) {
+        return;
+    }
+    double gap = gsl_ran_exponential(sim->rng, 1 / sim->rate_per_s);
+    LrTimers_Set(sim->timers, &sim->arrival,
+                 now + 1 + (LrTime)(gap * (double)LR_SECOND));
+    if (now < sim->paused_until) {
+        return;
+    }
+    LrEngine_Advance(sim->engine, now);
+    submit_request(sim, now);
+    settle(sim);
+}
+
+static void
+append_map(GString *text, const Sim *sim, int64_t version, size_t shift)
+{
+    const SimSize *size = sim->size;
+    g_string_append_printf(text, "{\"version\":%d,\"groups\":[",
+                           (int)version);
+    for (size_t g = 0; g < size->n_groups; g++) {
+        g_string_append_printf(text, "%s{\"name\":\"g%zu\",\"replicas\":[",
+                               g ? "," : "", g);
+        size_t home = (g + shift) % size->n_groups;
+        for (size_t r = 0; r < size->n_replicas; r++) {
+            size_t t = home * size->n_replicas + r;
+            g_string_append_printf(
+                text,
+                "%s{\"name\":\"t%zu\",\"address\":\"%s\",\"zone\":\"z%zu\"}",
+                r ? "," : "", t, sim->targets[t].address, r);
+        }
+        g_string_append(text, "]}");
+    }
+    g_string_append(text, "]}");
+}
+
+void
+Sim_Publish(Sim *sim, int64_t oldest, int64_t newest, size_t shift)
+{
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(text,
+                           "{\"revision\":%d,\"services\":[{\"name\":\"s\","
+                           "\"connections\":30,\"maps\":[",
+                           (int)++sim->catalogue_revision);
+    for (int64_t v = oldest; v <= newest; v++) {
+        g_string_append(text, v > oldest ? "," : "");
+        append_map(text, sim, v, v == newest ? shift : 0);
+    }
+    g_string_append(text, "]}],\"entries\":[");
+    for (int urgent = 0; urgent < 2; urgent++) {
+        g_string_append_printf(
+            text,
+            "%s{\"name\":\"%s\",\"owner\":\"o\",\"service\":\"s\","
+            "\"class\":\"%s\",\"max_concurrency\":100000,"
+            "\"rate_per_s\":10000000,%s}",
+            urgent ? "," : "", LrClass_Names[!urgent],
+            LrClass_Names[!urgent], sim->size->entry_json);
+    }
+    g_string_append(text, "]}");
+    LrFaults *faults = LrFaults_New();
+    LrCatalogue *catalogue =
+        LrCatalogue_Parse((LrStr){.ptr = text->str, .len = text->len}, faults);
+    g_assert(catalogue);
+    LrEngine_SetCatalogue(sim->engine, sim->now, catalogue);
+    LrCatalogue_Unref(catalogue);
+    LrFaults_Free(faults);
+    g_string_free(text, TRUE);
+    sim->version = newest;
+    settle(sim);
+}
+
+/* Knows when each target will have a place and its next service time. */
+static size_t
+pick_oracle(void *data, LrRouter *router, LrTime now,
+            LrTarget *const *candidates, size_t n, LrTime typical)
+{
+    (void)router;
+    (void)typical;
+    Sim *sim = data;
+    size_t best = 0;
+    LrTime earliest = LR_NEVER;
+    for (size_t i = 0; i < n; i++) {
+        SimTarget *target = g_hash_table_lookup(sim->by_address,
+                                                candidates[i]->address.ptr);
+        LrTime slot = LR_NEVER;
+        for (int s = 0; s < sim->size->slots; s++) {
+            slot = MIN(slot, target->slot_free[s]);
+        }
+        LrTime service =
+            (LrTime)((double)target->next_service * target->slow);
+        LrTime end = MAX(now, slot) + service + 2 * transit(sim, target);
+        if (!target->dead && end < earliest) {
+            earliest = end;
+            best = i;
+        }
+    }
+    return best;
+}
+
+static LrRoutePolicy
+find_policy(Sim *sim, const char *name)
+{
+    const LrRoutePolicy *known[] = {
+        &LrRoutePolicy_Random, &LrRoutePolicy_RoundRobin,
+        &LrRoutePolicy_LeastOutstanding, &LrRoutePolicy_Estimate};
+    for (size_t i = 0; i < G_N_ELEMENTS(known); i++) {
+        if (!strcmp(known[i]->name, name)) {
+            return *known[i];
+        }
+    }
+    return (LrRoutePolicy){
+        .name = "oracle", .pick = pick_oracle, .data = sim};
+}
+
+static void
+init_target(Sim *sim, size_t index, uint64_t seed)
+{
+    SimTarget *target = &sim->targets[index];
+    target->sim = sim;
+    target->group = index / sim->size->n_replicas;
+    target->address = g_strdup_printf("127.%zu.%zu.1:%zu", index >> 8,
+                                      index & 255, 1000 + index);
+    target->rng = gsl_rng_alloc(gsl_rng_taus2);
+    gsl_rng_set(target->rng, seed * 100003 + index + 1);
+    target->slow = 1;
+    target->lie = -1;
+    TAILQ_INIT(&target->running);
+    TAILQ_INIT(&target->queued);
+    target->next_service = draw_service(target);
+    g_hash_table_insert(sim->by_address, target->address, target);
+}
+
+Sim *
+Sim_New(const SimSize *size, const char *policy, uint64_t seed)
+{
+    Sim *sim = g_new0(Sim, 1);
+    sim->size = size;
+    sim->policy = find_policy(sim, policy);
+    sim->timers = LrTimers_New();
+    sim->counters = LrCounters_New();
+    sim->rng = gsl_rng_alloc(gsl_rng_taus2);
+    gsl_rng_set(sim->rng, seed);
+    sim->slow_request_factor = 1;
+    sim->now = LR_SECOND;
+    sim->n_targets = size->n_groups * size->n_replicas;
+    sim->targets = g_new0(SimTarget, sim->n_targets);
+    sim->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+    sim->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
+    sim->requests = g_array_new(FALSE, TRUE, sizeof(SimRequest));
+    sim->result.latencies = g_array_new(FALSE, FALSE, sizeof(double));
+    sim->result.urgent_latencies = g_array_new(FALSE, FALSE, sizeof(double));
+    for (size_t i = 0; i < sim->n_targets; i++) {
+        init_target(sim, i, seed);
+    }
+    LrEngineConfig config = {
+        .zone = LrStr_FromC("z0"),
+        .seed = seed + 1,
+        .hedge_share = 0.03,
+        .retry_share = 0.1,
+        .policy = &sim->policy,
+        .counters = sim->counters,
+    };
+    sim->engine = LrEngine_New(&config);
+    sim->arrival = (LrTimer){.func = on_arrival, .data = sim};
+    Sim_Publish(sim, 1, 1, 0);
+    return sim;
+}
+
+static void
+free_every_job(Sim *sim)
+{
+    GList *jobs = g_hash_table_get_values(sim->jobs);
+    for (GList *at = jobs; at; at = at->next) {
+        free_job(at->data);
+    }
+    g_list_free(jobs);
+    g_hash_table_unref(sim->jobs);
+}
+
+void
+Sim_Free(Sim *sim)
+{
+    free_every_job(sim);
+    LrEngine_Free(sim->engine);
+    for (size_t i = 0; i < sim->n_targets; i++) {
+        g_free(sim->targets[i].address);
+        gsl_rng_free(sim->targets[i].rng);
+    }
+    g_free(sim->targets);
+    g_hash_table_unref(sim->by_address);
+    g_array_unref(sim->requests);
+    g_array_unref(sim->result.latencies);
+    g_array_unref(sim->result.urgent_latencies);
+    LrCounters_Free(sim->counters);
+    LrTimers_Free(sim->timers);
+    gsl_rng_free(sim->rng);
+    g_free(sim);
+}
+
+/* Time of the engine's next timer, put off while the process is paused. */
+static LrTime
+engine_due(const Sim *sim)
+{
+    LrTime due = LrEngine_NextTimer(sim->engine);
+    return due == LR_NEVER ? due : MAX(due, sim->paused_until);
+}
+
+void
+Sim_Run(Sim *sim, LrTime length)
+{
+    sim->end = sim->now + length;
+    LrTimers_Set(sim->timers, &sim->arrival, sim->now + 1);
+    for (;;) {
+        LrTime due = MIN(LrTimers_Next(sim->timers), engine_due(sim));
+        bool over = due >= sim->end && LrEngine_Running(sim->engine) == 0;
+        if (due == LR_NEVER || over) {
+            break;
+        }
+        sim->now = MAX(sim->now, due);
+        LrTimers_Run(sim->timers, sim->now);
+        if (engine_due(sim) <= sim->now) {
+            LrEngine_Advance(sim->engine, sim->now);
+            settle(sim);
+        }
+    }
+    const uint64_t *counts = sim->counters->values;
+    sim->result.first_attempts = counts[LR_COUNT_SUB_REQUESTS];
+    sim->result.all_attempts = counts[LR_COUNT_SUB_REQUESTS] +
+                               counts[LR_COUNT_HEDGES] +
+                               counts[LR_COUNT_RETRIES];
+}
