--- a/bench/sim.h
+++ b/bench/sim.h
@@ -50,7 +50,8 @@
     LrTime last_new_work;
     LrTime back_at;
     double lie;
-    int64_t gone_before;
+    int64_t oldest;
+    int64_t newest;
 };
 
 /* What the simulation knows of a caller's request. */
@@ -68,6 +69,7 @@
     int slots;
     LrTime median;
     double sigma;
+    double min_coverage;
     const char *entry_json;
 } SimSize;
 
--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -12,6 +12,8 @@
 #define WAITING_PER_GROUP 1.0
 /* The reserve for urgent work decays at this rate when none comes. */
 #define URGENT_FORGET_NS 2e9
+/* Share of answers that a late start must still be in time for. */
+#define NEEDED_QUANTILE 0.5
 
 LrReason
 LrAdmission_Check(LrEngine *engine, LrQuery *query, LrTime now)
@@ -58,7 +60,7 @@
     LrServiceState *state = state_of(query);
     struct LrQueryList *list = &state->queued[query->klass];
     LrQuery *before = TAILQ_LAST(list, LrQueryList);
-    while (before && before->hard_at > query->hard_at) {
+    while (before && before->soft_at > query->soft_at) {
         before = TAILQ_PREV(before, LrQueryList, of_queue);
     }
     if (before) {
@@ -83,6 +85,14 @@
     state->n_queued--;
 }
 
+LrTime
+LrAdmission_LatestStart(const LrQuery *query)
+{
+    LrLatency *answer = state_of(query)->answer;
+    return query->soft_at -
+           LrLatency_Quantile(answer, NEEDED_QUANTILE, 0);
+}
+
 static LrQuery *
 next_queued(LrServiceState *state)
 {
@@ -101,8 +111,7 @@
     LrQuery *query = next_queued(state);
     while (query && LrAdmission_IsOpen(query)) {
         LrAdmission_Dequeue(query);
-        LrTime needed = LrLatency_Quantile(state->answer, 0.5, 0);
-        if (query->hard_at - now < needed) {
+        if (now > LrAdmission_LatestStart(query)) {
             LrCounters_Add(engine->config.counters, LR_COUNT_DROPPED_EARLY, 1);
             LrQuery_Finish(engine, query, LR_REASON_OVERLOAD, now);
         }
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -183,6 +183,8 @@
     if (reply->draining) {
         LrRouter_MarkLeaving(engine->router, target, LR_SIGN_ANSWER, now);
     }
+    LrRouter_SetVersions(engine->router, target, reply->oldest,
+                         reply->newest);
     switch (reply->status) {
     case LR_REPLY_OK:
         LrLatency_Add(query->entry->service->state->attempt, latency);
@@ -197,7 +199,8 @@
         LrLimit_OnShed(&target->limit);
         break;
     case LR_REPLY_VERSION_GONE:
-        LrRouter_MarkGone(engine->router, target, query->map->version);
+        LrRouter_MarkGone(engine->router, target, query->map->version,
+                          now);
         break;
     case LR_REPLY_REJECTED:
         break;
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -360,7 +360,11 @@
     unsigned leaving_signs;
     LrTime leaving_until;
     LrTime warm_at;
-    GArray *gone_versions;
+    /* Index versions that the last answer named; 0 while unknown. */
+    int64_t oldest;
+    int64_t newest;
+    int64_t gone_version;
+    LrTime gone_until;
     GPtrArray *groups;
     bool dirty;
 };
@@ -421,8 +425,13 @@
 void LrRouter_ClearLeaving(LrRouter *router, LrTarget *target,
                            LrLeavingSign sign);
 bool LrRouter_IsLeaving(const LrTarget *target, LrTime now);
-void LrRouter_MarkGone(LrRouter *router, LrTarget *target, int64_t version);
-bool LrRouter_Serves(const LrTarget *target, int64_t version);
+/* The target said that it does not serve a version; believed for a while. */
+void LrRouter_MarkGone(LrRouter *router, LrTarget *target, int64_t version,
+                       LrTime now);
+/* The target named the range of versions that it serves. */
+void LrRouter_SetVersions(LrRouter *router, LrTarget *target, int64_t oldest,
+                          int64_t newest);
+bool LrRouter_Serves(const LrTarget *target, int64_t version, LrTime now);
 /* Forgets reports and ejections that a gap in the clock made worthless. */
 void LrRouter_OnLateWakeup(LrRouter *router, LrTime now);
 
@@ -633,6 +642,9 @@
 typedef struct {
     LrReplyStatus status;
     int64_t version;
+    /* Index versions that the target serves; 0 when not said. */
+    int64_t oldest;
+    int64_t newest;
     bool draining;
     LrLoadReport load;
     GBytes *body;
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -125,6 +125,8 @@
 void LrAdmission_Dequeue(LrQuery *query);
 /* Starts queued queries of the service while there is room. */
 void LrAdmission_Pump(LrEngine *engine, LrServiceState *state, LrTime now);
+/* Time after which a start would miss the query's soft deadline. */
+LrTime LrAdmission_LatestStart(const LrQuery *query);
 void LrAdmission_Started(LrQuery *query, LrTime now);
 void LrAdmission_Finished(LrQuery *query);
 /* Places in a group that routine work leaves free for urgent work. */
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -121,10 +121,9 @@
 {
     LrTime due = query->hard_at;
     if (query->queued) {
-        LrLatency *answer = query->entry->service->state->answer;
-        due -= LrLatency_Quantile(answer, 0.5, 0);
+        due = MAX(now, LrAdmission_LatestStart(query));
     }
-    if (query->soft_at > now) {
+    else if (query->soft_at > now) {
         due = MIN(due, query->soft_at);
     }
     due = MIN(due, MAX(query->hedge_at, now + MIN_TIMER_STEP));
@@ -299,7 +298,8 @@
 {
     const LrGroup *group = part->group;
     for (size_t i = 0; i < group->n_replicas; i++) {
-        if (LrRouter_Serves(group->replicas[i], part->query->map->version) &&
+        if (LrRouter_Serves(group->replicas[i],
+                            part->query->map->version, now) &&
             !LrRouter_IsLeaving(group->replicas[i], now)) {
             return false;
         }
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -17,10 +17,14 @@
 #define FORGET_NS 3e9
 /* A load report loses its weight at this rate. */
 #define REPORT_NS 5e6
+/* A report of a queue is believed when the answer took this multiple of the
+ * typical latency. */
+#define QUEUE_RATIO 1.3
 /* Added to the estimate of a target in another zone, as a share of the
  * typical latency. */
 #define REMOTE_SHARE 0.2
 #define LEAVING_HOLD (30 * LR_SECOND)
+#define GONE_HOLD LR_SECOND
 #define EJECT_BASE (500 * LR_MILLISECOND)
 #define EJECT_MAX (20 * LR_SECOND)
 #define SLOW_START (2 * LR_SECOND)
@@ -31,7 +35,6 @@
     FAILURES_TO_EJECT = 2,
     EJECT_MAX_SHIFT = 6,
     BEST_OF_ALL_MAX = 4,
-    MAX_GONE_VERSIONS = 8,
 };
 
 struct LrRouter {
@@ -49,7 +52,6 @@
     g_free((char *)target->name.ptr);
     g_free((char *)target->address.ptr);
     g_free((char *)target->zone.ptr);
-    g_array_unref(target->gone_versions);
     g_ptr_array_unref(target->groups);
     g_free(target);
 }
@@ -98,7 +100,6 @@
     target->zone = own_str(spec->zone);
     target->local = LrStr_Equal(spec->zone, router->config.zone);
     target->refs = 1;
-    target->gone_versions = g_array_new(FALSE, FALSE, sizeof(int64_t));
     target->groups = g_ptr_array_new();
     target->sampled_at = now;
     LrLimit_Init(&target->limit, connections);
@@ -145,15 +146,13 @@
 }
 
 bool
-LrRouter_Serves(const LrTarget *target, int64_t version)
+LrRouter_Serves(const LrTarget *target, int64_t version, LrTime now)
 {
-    const GArray *gone = target->gone_versions;
-    for (guint i = 0; i < gone->len; i++) {
-        if (g_array_index(gone, int64_t, i) == version) {
-            return false;
-        }
+    if (target->gone_version == version && target->gone_until > now) {
+        return false;
     }
-    return true;
+    return target->newest == 0 ||
+           (version >= target->oldest && version <= target->newest);
 }
 
 static double
@@ -237,7 +236,7 @@
     for (size_t i = 0; i < group->n_replicas && i < MAX_CANDIDATES; i++) {
         LrTarget *target = group->replicas[i];
         if (LrRouter_IsLeaving(target, now) ||
-            !LrRouter_Serves(target, version) ||
+            !LrRouter_Serves(target, version, now) ||
             was_tried(target, tried, n_tried)) {
             continue;
         }
@@ -392,13 +391,13 @@
     target->ejections = 0;
     target->ejected_until = 0;
     double queue = -1;
+    double ratio = (double)latency / (double)typical;
     if (report->present && isfinite(report->queued)) {
-        queue = report->queued;
+        queue = ratio > QUEUE_RATIO ? report->queued : 0;
         target->report_queue = queue;
         target->report_at = now;
     }
-    LrLimit_OnReply(&target->limit, (double)latency / (double)typical, queue,
-                    target->in_flight);
+    LrLimit_OnReply(&target->limit, ratio, queue, target->in_flight);
 }
 
 void
@@ -440,16 +439,23 @@
 }
 
 void
-LrRouter_MarkGone(LrRouter *router, LrTarget *target, int64_t version)
+LrRouter_MarkGone(LrRouter *router, LrTarget *target, int64_t version,
+                  LrTime now)
 {
     (void)router;
-    if (!LrRouter_Serves(target, version)) {
-        return;
-    }
-    if (target->gone_versions->len == MAX_GONE_VERSIONS) {
-        g_array_remove_index(target->gone_versions, 0);
+    target->gone_version = version;
+    target->gone_until = now + GONE_HOLD;
+}
+
+void
+LrRouter_SetVersions(LrRouter *router, LrTarget *target, int64_t oldest,
+                     int64_t newest)
+{
+    (void)router;
+    if (oldest > 0 && newest >= oldest) {
+        target->oldest = oldest;
+        target->newest = newest;
     }
-    g_array_append_val(target->gone_versions, version);
 }
 
 static void
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -232,7 +232,7 @@
         for (size_t j = 0; j < group->n_replicas; j++) {
             const LrTarget *target = group->replicas[j];
             if (!LrRouter_IsLeaving(target, now) &&
-                LrRouter_Serves(target, map->version)) {
+                LrRouter_Serves(target, map->version, now)) {
                 n_served++;
                 break;
             }
--- a/liblavenderrail/wire.c
+++ b/liblavenderrail/wire.c
@@ -1,6 +1,8 @@
 /* The HTTP contract with targets; docs/TARGETS.md is its page. */
 #include "lavenderrail.h"
 
+#include <string.h>
+
 #include <jansson.h>
 
 enum {
@@ -75,6 +77,24 @@
     }
 }
 
+/* Lr-Versions: OLDEST-NEWEST */
+static void
+read_versions(LrTransfer *transfer, LrReply *reply)
+{
+    LrStr text = LrTransfer_Header(transfer, "Lr-Versions");
+    const char *dash = text.len ? memchr(text.ptr, '-', text.len) : NULL;
+    if (!dash) {
+        return;
+    }
+    LrStr oldest = {.ptr = text.ptr, .len = (size_t)(dash - text.ptr)};
+    LrStr newest = {.ptr = dash + 1, .len = text.len - oldest.len - 1};
+    if (!LrStr_ToInt(oldest, &reply->oldest) ||
+        !LrStr_ToInt(newest, &reply->newest)) {
+        reply->oldest = 0;
+        reply->newest = 0;
+    }
+}
+
 static bool
 is_json(GBytes *body)
 {
@@ -97,6 +117,7 @@
     read_load(transfer, &reply->load);
     reply->draining =
         LrStr_EqualC(LrTransfer_Header(transfer, "Lr-Draining"), "1");
+    read_versions(transfer, reply);
     bool not_run =
         LrStr_EqualC(LrTransfer_Header(transfer, "Lr-Not-Run"), "1");
     if (result->status == STATUS_GONE) {
