hedge: pace: spend the whole budget, by age and not by rank

Cause: the tail of wide queries came from hedges refused for want of budget: at 250 shards 40,000 of 84,000 tries found none, because hedging the last 2 % of the parts at 1.5 medians spent it on healthy parts.

--- a/bench/policy.c
+++ b/bench/policy.c
@@ -305,8 +305,8 @@
     for (size_t i = 0; i < sim->n_targets; i++) {
         const SimTarget *target = &sim->targets[i];
         if (target->draining) {
-            longest = MAX(longest, target->last_new_work -
-                                       target->draining_since);
+            longest =
+                MAX(longest, target->last_new_work - target->draining_since);
         }
     }
     return (double)longest / (double)LR_MILLISECOND;
@@ -319,11 +319,12 @@
 }
 
 static json_t *
-figures(Sim *sim, const Scenario *scenario)
+figures(Sim *sim)
 {
     SimResult *result = &sim->result;
     double offered = (double)sim->requests->len;
-    double bound = MIN(offered, Sim_Capacity(sim) * scenario->seconds);
+    double seconds = (double)(sim->now - LR_SECOND) / (double)LR_SECOND;
+    double bound = MIN(offered, Sim_Capacity(sim) * seconds);
     return json_pack(
         "{s:f, s:f, s:f, s:f, s:f, s:f, s:I, s:I, s:f, s:f, s:I, s:I, s:I,"
         " s:f}",
@@ -333,8 +334,8 @@
         quantile(result->urgent_latencies, 0.99), "useful",
         ratio((double)result->n_useful, bound), "coverage",
         ratio((double)result->n_parts_answered, (double)result->n_parts),
-        "false_coverage", (json_int_t)result->false_coverage,
-        "mixed_snapshot", (json_int_t)result->mixed_snapshot, "extra_load",
+        "false_coverage", (json_int_t)result->false_coverage, "mixed_snapshot",
+        (json_int_t)result->mixed_snapshot, "extra_load",
         ratio((double)result->all_attempts, (double)result->first_attempts) -
             1,
         "shed", ratio((double)result->n_refused, offered), "wrong_not_run",
@@ -351,7 +352,8 @@
     printf("scenario=%s policy=%s size=%s", scenario, policy, size);
     const char *name;
     json_t *value;
-    json_object_foreach(json, name, value) {
+    json_object_foreach(json, name, value)
+    {
         printf(" %s=%.4g", name, json_number_value(value));
     }
     printf("\n");
@@ -363,12 +365,11 @@
 {
     Sim *sim = Sim_New(size, policy, seed);
     Script script = {.sim = sim};
-    /* A wide query costs as much as many narrow ones: fewer are run. */
     double seconds = scenario->seconds;
     sim->rate_per_s = scenario->load * Sim_Capacity(sim);
     scenario->setup(sim, &script);
     Sim_Run(sim, (LrTime)(seconds * (double)LR_SECOND));
-    json_t *json = figures(sim, scenario);
+    json_t *json = figures(sim);
     if (as_json) {
         json_object_set_new(json, "scenario", json_string(scenario->name));
         json_object_set_new(json, "policy", json_string(policy));
@@ -450,8 +451,8 @@
             status = BENCH_USAGE;
         }
         else {
-            run_one(chosen, policy->sval[0], at_size,
-                    (uint64_t)seed->ival[0], json->count > 0);
+            run_one(chosen, policy->sval[0], at_size, (uint64_t)seed->ival[0],
+                    json->count > 0);
             status = EXIT_SUCCESS;
         }
     }
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -239,8 +239,7 @@
         }
     }
     LrTime start = MAX(now, target->slot_free[best]);
-    target->slot_free[best] =
-        start + (LrTime)((double)service * target->slow);
+    target->slot_free[best] = start + (LrTime)((double)service * target->slow);
 }
 
 /* Each sub-request has a service time of its own at every replica. */
@@ -258,8 +257,8 @@
 static void
 send_job(Sim *sim, const LrAction *action)
 {
-    SimTarget *target = g_hash_table_lookup(sim->by_address,
-                                            action->target->address.ptr);
+    SimTarget *target =
+        g_hash_table_lookup(sim->by_address, action->target->address.ptr);
     LrStr body = LrStr_FromBytes(action->body);
     const uint64_t *words = (const uint64_t *)(const void *)body.ptr;
     SimJob *job = g_new0(SimJob, 1);
@@ -275,8 +274,7 @@
     note_schedule(target, sim->now, job->service);
     job->timer = (LrTimer){.func = on_arrive, .data = job};
     g_hash_table_insert(sim->jobs, &job->attempt, job);
-    LrTimers_Set(sim->timers, &job->timer,
-                 sim->now + transit(sim, target));
+    LrTimers_Set(sim->timers, &job->timer, sim->now + transit(sim, target));
 }
 
 static void
@@ -355,8 +353,7 @@
         return;
     }
     check_parts(sim, got, index);
-    double ms = (double)(sim->now - request->sent_at) /
-                (double)LR_MILLISECOND;
+    double ms = (double)(sim->now - request->sent_at) / (double)LR_MILLISECOND;
     result->n_answers++;
     double share = (double)got->n_answered / (double)got->n_parts;
     bool useful = share >= sim->size->min_coverage;
@@ -432,8 +429,7 @@
 append_map(GString *text, const Sim *sim, int64_t version, size_t shift)
 {
     const SimSize *size = sim->size;
-    g_string_append_printf(text, "{\"version\":%d,\"groups\":[",
-                           (int)version);
+    g_string_append_printf(text, "{\"version\":%d,\"groups\":[", (int)version);
     for (size_t g = 0; g < size->n_groups; g++) {
         g_string_append_printf(text, "%s{\"name\":\"g%zu\",\"replicas\":[",
                                g ? "," : "", g);
@@ -469,8 +465,8 @@
             "%s{\"name\":\"%s\",\"owner\":\"o\",\"service\":\"s\","
             "\"class\":\"%s\",\"max_concurrency\":100000,"
             "\"rate_per_s\":10000000,%s}",
-            urgent ? "," : "", LrClass_Names[!urgent],
-            LrClass_Names[!urgent], sim->size->entry_json);
+            urgent ? "," : "", LrClass_Names[!urgent], LrClass_Names[!urgent],
+            sim->size->entry_json);
     }
     g_string_append(text, "]}");
     LrFaults *faults = LrFaults_New();
@@ -496,14 +492,13 @@
     size_t best = 0;
     LrTime earliest = LR_NEVER;
     for (size_t i = 0; i < n; i++) {
-        SimTarget *target = g_hash_table_lookup(sim->by_address,
-                                                candidates[i]->address.ptr);
+        SimTarget *target =
+            g_hash_table_lookup(sim->by_address, candidates[i]->address.ptr);
         LrTime slot = LR_NEVER;
         for (int s = 0; s < sim->size->slots; s++) {
             slot = MIN(slot, target->slot_free[s]);
         }
-        LrTime service =
-            (LrTime)((double)target->next_service * target->slow);
+        LrTime service = (LrTime)((double)target->next_service * target->slow);
         LrTime end = MAX(now, slot) + service + 2 * transit(sim, target);
         if (!target->dead && end < earliest) {
             earliest = end;
@@ -524,8 +519,7 @@
             return *known[i];
         }
     }
-    return (LrRoutePolicy){
-        .name = "oracle", .pick = pick_oracle, .data = sim};
+    return (LrRoutePolicy){.name = "oracle", .pick = pick_oracle, .data = sim};
 }
 
 static void
--- a/cli/standin_target.c
+++ b/cli/standin_target.c
@@ -285,8 +285,8 @@
     Job *job = new_job(target, exchange);
     int64_t version = 0;
     LrStr_ToInt(LrExchange_Header(exchange, "Lr-Snapshot"), &version);
-    if (target->faults.newest > 0 && (version < target->faults.oldest ||
-                                      version > target->faults.newest)) {
+    if (target->faults.newest > 0 &&
+        (version < target->faults.oldest || version > target->faults.newest)) {
         reply(job, STATUS_GONE, true, g_strdup("{\"error\":\"gone\"}"));
         free_job(job);
         return;
--- a/cli/table.c
+++ b/cli/table.c
@@ -50,7 +50,7 @@
 Table_Print(Table *table)
 {
     size_t n = table->n_columns;
-    g_autofree int *widths = g_new0(int, n);
+    int *widths = g_new0(int, n);
     for (size_t i = 0; i < n; i++) {
         widths[i] = column_width(table, i);
     }
@@ -60,6 +60,7 @@
         printf("%-*s%s", column + 1 == n ? 0 : widths[column],
                (char *)table->cells->pdata[i], end);
     }
+    g_free(widths);
     g_ptr_array_unref(table->cells);
     g_free(table);
 }
--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -89,8 +89,7 @@
 LrAdmission_LatestStart(const LrQuery *query)
 {
     LrLatency *answer = state_of(query)->answer;
-    return query->soft_at -
-           LrLatency_Quantile(answer, NEEDED_QUANTILE, 0);
+    return query->soft_at - LrLatency_Quantile(answer, NEEDED_QUANTILE, 0);
 }
 
 static LrQuery *
--- a/liblavenderrail/client.c
+++ b/liblavenderrail/client.c
@@ -230,8 +230,11 @@
     if (!client) {
         return;
     }
-    while (!TAILQ_EMPTY(&client->open)) {
-        LrTransfer_Cancel(TAILQ_FIRST(&client->open));
+    LrTransfer *transfer;
+    LrTransfer *next;
+    TAILQ_FOREACH_SAFE(transfer, &client->open, of_client, next)
+    {
+        LrTransfer_Cancel(transfer);
     }
     for (guint i = 0; i < client->idle->len; i++) {
         curl_easy_cleanup(client->idle->pdata[i]);
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -97,8 +97,8 @@
 {
     const LrGroup *group = part->group;
     for (size_t i = 0; i < group->n_replicas; i++) {
-        if (LrRouter_Serves(group->replicas[i],
-                            part->query->map->version, now) &&
+        if (LrRouter_Serves(group->replicas[i], part->query->map->version,
+                            now) &&
             !LrRouter_IsLeaving(group->replicas[i], now)) {
             return true;
         }
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -4,7 +4,7 @@
 /* A gap in the clock of this length is a late wake-up. */
 #define LATE_GAP LR_SECOND
 /* Hedges and retries that may be saved up. */
-#define HEDGE_BURST 30.0
+#define HEDGE_BURST 100.0
 #define RETRY_BURST 100.0
 #define RETRY_PER_SECOND 1.0
 
@@ -25,6 +25,7 @@
     engine->timers = LrTimers_New();
     engine->quarantine = LrQuarantine_New();
     LrBucket_Init(&engine->hedges, 0, HEDGE_BURST, 0);
+    engine->hedges.tokens = 0;
     LrBucket_Init(&engine->retries, RETRY_PER_SECOND, RETRY_BURST, 0);
     TAILQ_INIT(&engine->queries);
     engine->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -183,8 +184,7 @@
     if (reply->draining) {
         LrRouter_MarkLeaving(engine->router, target, LR_SIGN_ANSWER, now);
     }
-    LrRouter_SetVersions(engine->router, target, reply->oldest,
-                         reply->newest);
+    LrRouter_SetVersions(engine->router, target, reply->oldest, reply->newest);
     switch (reply->status) {
     case LR_REPLY_OK:
         LrLatency_Add(query->entry->service->state->attempt, latency);
@@ -199,8 +199,7 @@
         LrLimit_OnShed(&target->limit);
         break;
     case LR_REPLY_VERSION_GONE:
-        LrRouter_MarkGone(engine->router, target, query->map->version,
-                          now);
+        LrRouter_MarkGone(engine->router, target, query->map->version, now);
         break;
     case LR_REPLY_REJECTED:
         break;
--- a/liblavenderrail/hedge.c
+++ b/liblavenderrail/hedge.c
@@ -1,45 +1,36 @@
 /* Hedging: a further attempt for a part that is slow for its service, paid
- * from a budget. */
+ * from a budget. The fuller the budget, the earlier a part counts as slow,
+ * so that the whole budget is used and it is seldom empty. */
 #include "private.h"
 
-/* A part is slow when its attempt outlasts this quantile of recent ones. */
-#define SLOW_QUANTILE 0.97
-/* The last parts outstanding are hedged after this multiple of the median. */
-#define LAST_PARTS_RATIO 1.5
-/* Share of a query's parts that count as the last ones. */
-#define LAST_PARTS_SHARE 0.02
-#define RETRY_SHARE 4
+/* A part is slow when its attempt outlasts this quantile of recent ones,
+ * with a full and with an empty budget. */
+#define QUANTILE_FULL 0.97
+#define QUANTILE_EMPTY 0.985
+/* Time between the hedges of a part, as a share of the first delay. */
+#define STEP_SHARE 0.3
+/* A hedge that found no room is tried again after this share of it. */
+#define AGAIN_SHARE 0.25
 
-enum { MAX_HEDGES = 2 };
+enum { MAX_HEDGES = 4 };
 
-typedef struct {
-    LrTime slow;
-    LrTime last;
-    size_t n_last;
-} Delays;
-
-static Delays
-find_delays(const LrQuery *query)
+/* Age at which a part counts as slow; 0 while too little is known. */
+static LrTime
+slow_age(const LrEngine *engine, const LrQuery *query)
 {
     LrLatency *attempt = query->entry->service->state->attempt;
-    LrTime median = LrLatency_Quantile(attempt, 0.5, 0);
-    Delays delays = {
-        .slow = LrLatency_Quantile(attempt, SLOW_QUANTILE, 0),
-        .last = (LrTime)(LAST_PARTS_RATIO * (double)median),
-        .n_last = (size_t)(LAST_PARTS_SHARE * (double)query->n_parts),
-    };
-    return delays;
+    double full = (double)LrLatency_Quantile(attempt, QUANTILE_FULL, 0);
+    double empty = (double)LrLatency_Quantile(attempt, QUANTILE_EMPTY, 0);
+    double fill = engine->hedges.tokens / engine->hedges.cap;
+    return (LrTime)(empty + (full - empty) * fill);
 }
 
-/* Age at which the part gets its next hedge. */
+/* Time at which the part gets its next hedge. */
 static LrTime
-hedge_age(const LrQuery *query, const LrPart *part, const Delays *delays)
+hedge_due(const LrPart *part, LrTime slow)
 {
-    LrTime delay = delays->slow;
-    if (query->n_open <= delays->n_last) {
-        delay = MIN(delay, delays->last);
-    }
-    return delay * (part->n_hedges + 1);
+    double delay = (double)slow * (1 + STEP_SHARE * part->n_hedges);
+    return part->first_sent_at + (LrTime)delay;
 }
 
 static bool
@@ -71,8 +62,8 @@
 LrHedge_Run(LrEngine *engine, LrQuery *query, LrTime now)
 {
     query->hedge_at = LR_NEVER;
-    Delays delays = find_delays(query);
-    if (query->single_run || query->suspect || delays.slow == 0 ||
+    LrTime slow = slow_age(engine, query);
+    if (query->single_run || query->suspect || slow == 0 ||
         !LrRouter_Policy(engine->router)->hedged) {
         return;
     }
@@ -81,11 +72,11 @@
         if (!is_hedgeable(part)) {
             continue;
         }
-        LrTime due = part->first_sent_at + hedge_age(query, part, &delays);
+        LrTime due = hedge_due(part, slow);
         if (due <= now) {
             hedge_part(engine, part, now);
-            due = part->first_sent_at + hedge_age(query, part, &delays);
-            due = MAX(due, now + delays.slow / RETRY_SHARE);
+            LrTime again = now + (LrTime)(AGAIN_SHARE * (double)slow);
+            due = MAX(hedge_due(part, slow), again);
         }
         if (is_hedgeable(part)) {
             query->hedge_at = MIN(query->hedge_at, due);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -415,7 +415,8 @@
                         int64_t version, LrTime now, LrTime typical,
                         LrTarget *const *tried, size_t n_tried, bool suspect,
                         uint32_t reserve, bool *exists);
-void LrRouter_OnSend(LrRouter *router, LrTarget *target, LrTime now);
+/* Whether every replica of a group is ejected: a retry would be wasted. */
+bool LrRouter_AllEjected(const LrGroup *group, LrTime now);
 void LrRouter_OnSuccess(LrRouter *router, LrTarget *target, LrTime latency,
                         LrTime now, const LrLoadReport *report,
                         LrTime typical);
@@ -511,9 +512,10 @@
 LrView *LrView_Ref(LrView *view);
 void LrView_Unref(LrView *view);
 LrEntry *LrView_LookupEntry(LrView *view, LrStr name);
-/* Newest map whose every group has a replica believed to serve it; when
- * there is none, the map with the most such groups. skip: a version not to
- * be chosen, 0 for none. */
+/* Policy common: the map that the largest share of replicas serves in its
+ * worst group, the newest of equals. Policy newest: the newest map that
+ * every group serves. When no map is served by every group, the one that
+ * the fewest groups lack. skip: a version not to be chosen, 0 for none. */
 LrMap *LrView_PickMap(const LrService *service, LrSnapshotPolicy policy,
                       int64_t skip, LrTime now);
 
--- a/liblavenderrail/limit.c
+++ b/liblavenderrail/limit.c
@@ -7,7 +7,6 @@
 #define RATIO_WEIGHT 0.1
 #define SLOW_RATIO 3.0
 #define QUEUE_DECREASE 0.95
-#define SLOW_DECREASE 0.95
 #define SHED_DECREASE 0.7
 
 void
@@ -32,12 +31,9 @@
 {
     double clipped = MIN(latency_ratio, 2 * SLOW_RATIO);
     limit->ratio += RATIO_WEIGHT * (clipped - limit->ratio);
-    if (queue >= 1) {
+    if (queue >= 1 || limit->ratio > SLOW_RATIO) {
         decrease(limit, QUEUE_DECREASE);
     }
-    else if (limit->ratio > SLOW_RATIO) {
-        decrease(limit, SLOW_DECREASE);
-    }
     else if (in_flight + 1.0 >= limit->value) {
         limit->value = MIN(limit->max, limit->value + 1 / limit->value);
     }
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -247,7 +247,8 @@
     if (part->n_live > 0) {
         return;
     }
-    if (!LrBucket_Take(&engine->retries, now)) {
+    if (LrRouter_AllEjected(part->group, now) ||
+        !LrBucket_Take(&engine->retries, now)) {
         LrGather_Missing(part, part->reason);
         return;
     }
@@ -298,8 +299,8 @@
 {
     const LrGroup *group = part->group;
     for (size_t i = 0; i < group->n_replicas; i++) {
-        if (LrRouter_Serves(group->replicas[i],
-                            part->query->map->version, now) &&
+        if (LrRouter_Serves(group->replicas[i], part->query->map->version,
+                            now) &&
             !LrRouter_IsLeaving(group->replicas[i], now)) {
             return false;
         }
@@ -372,9 +373,5 @@
     else {
         on_failed(engine, part, target, &checked, isolated, now);
     }
-    size_t n_last = query->n_parts / 50;
-    if (query->n_open > 0 && query->n_open <= n_last) {
-        LrHedge_Run(engine, query, now);
-    }
     LrQuery_Progress(engine, query, now);
 }
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -254,6 +254,17 @@
     }
 }
 
+bool
+LrRouter_AllEjected(const LrGroup *group, LrTime now)
+{
+    for (size_t i = 0; i < group->n_replicas; i++) {
+        if (group->replicas[i]->ejected_until <= now) {
+            return false;
+        }
+    }
+    return true;
+}
+
 LrTarget *
 LrRouter_Pick(LrRouter *router, const LrGroup *group, int64_t version,
               LrTime now, LrTime typical, LrTarget *const *tried,
--- a/liblavenderrail/settings.c
+++ b/liblavenderrail/settings.c
@@ -21,21 +21,23 @@
 } Options;
 
 static char *
-dash_name(const char *name)
+dash_name(LrArena *arena, const char *name)
 {
-    char *dashed = g_strdup(name);
+    LrStr copy = LrArena_Copy(arena, LrStr_FromC(name));
+    char *dashed = (char *)copy.ptr;
     g_strdelimit(dashed, "_", '-');
     return dashed;
 }
 
 static void
-build_options(Options *options, const LrObjectSpec *spec)
+build_options(Options *options, const LrObjectSpec *spec, LrArena *arena)
 {
     size_t n = spec->n_fields;
     options->n_values = n;
-    options->values = g_new0(struct arg_str *, n);
-    options->names = g_new0(char *, n + 1);
-    options->table = g_new0(void *, n + FIXED_OPTIONS + 1);
+    options->values = LrArena_Alloc(arena, n * sizeof(struct arg_str *));
+    options->names = LrArena_Alloc(arena, n * sizeof(char *));
+    options->table =
+        LrArena_Alloc(arena, (n + FIXED_OPTIONS + 1) * sizeof(void *));
     options->help = arg_lit0("h", "help", "show this help and exit");
     options->version = arg_lit0(NULL, "version", "show the version and exit");
     options->check =
@@ -44,7 +46,7 @@
     options->table[1] = options->version;
     options->table[2] = options->check;
     for (size_t i = 0; i < n; i++) {
-        options->names[i] = dash_name(spec->fields[i].name);
+        options->names[i] = dash_name(arena, spec->fields[i].name);
         options->values[i] =
             arg_str0(NULL, options->names[i], "VALUE", spec->fields[i].hint);
         options->table[FIXED_OPTIONS + i] = options->values[i];
@@ -56,9 +58,6 @@
 free_options(Options *options)
 {
     arg_freetable(options->table, options->n_values + FIXED_OPTIONS + 1);
-    g_free(options->table);
-    g_free(options->values);
-    g_strfreev(options->names);
 }
 
 static char *
@@ -76,7 +75,7 @@
     g_autofree char *option = g_strconcat("--", flag_name, NULL);
     const char *text = getenv(variable);
     const char *path = variable;
-    if (flag->count > 0) {
+    if (flag && flag->count > 0) {
         text = flag->sval[0];
         path = option;
     }
@@ -168,7 +167,7 @@
 {
     Options options = {0};
     LrRecord_Init(&LrSettings_Spec, settings);
-    build_options(&options, &LrSettings_Spec);
+    build_options(&options, &LrSettings_Spec, arena);
     int n_errors = arg_parse(argc, argv, options.table);
     bool run = false;
     *exit_status = 0;
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -223,22 +223,36 @@
     return g_hash_table_lookup(view->entry_by_name, &name);
 }
 
-static size_t
-count_served(const LrMap *map, LrTime now)
+/* Share of the group's usable replicas that serve the version; 1 when no
+ * replica is usable, since no version can help then. */
+static double
+served_share(const LrGroup *group, int64_t version, LrTime now)
 {
-    size_t n_served = 0;
-    for (size_t i = 0; i < map->n_groups; i++) {
-        const LrGroup *group = &map->groups[i];
-        for (size_t j = 0; j < group->n_replicas; j++) {
-            const LrTarget *target = group->replicas[j];
-            if (!LrRouter_IsLeaving(target, now) &&
-                LrRouter_Serves(target, map->version, now)) {
-                n_served++;
-                break;
-            }
+    unsigned n_usable = 0;
+    unsigned n_served = 0;
+    for (size_t i = 0; i < group->n_replicas; i++) {
+        const LrTarget *target = group->replicas[i];
+        if (LrRouter_IsLeaving(target, now) || target->ejected_until > now) {
+            continue;
         }
+        n_usable++;
+        n_served += LrRouter_Serves(target, version, now);
+    }
+    return n_usable > 0 ? (double)n_served / n_usable : 1;
+}
+
+/* Smallest share over the groups; groups without any count as minus one. */
+static double
+worst_share(const LrMap *map, LrTime now)
+{
+    double worst = 1;
+    double n_lost = 0;
+    for (size_t i = 0; i < map->n_groups; i++) {
+        double share = served_share(&map->groups[i], map->version, now);
+        n_lost += share == 0;
+        worst = MIN(worst, share);
     }
-    return n_served;
+    return n_lost > 0 ? -n_lost : worst;
 }
 
 LrMap *
@@ -246,19 +260,17 @@
                LrTime now)
 {
     LrMap *best = NULL;
-    double best_share = -1;
+    double best_share = 0;
     for (size_t i = 0; i < service->n_maps; i++) {
         LrMap *map = &service->maps[i];
         if (map->version == skip) {
             continue;
         }
-        size_t n_served = count_served(map, now);
-        if (n_served == map->n_groups ||
-            (policy == LR_SNAPSHOT_NEWEST && n_served > 0)) {
+        double share = worst_share(map, now);
+        if (policy == LR_SNAPSHOT_NEWEST && share > 0) {
             return map;
         }
-        double share = (double)n_served / (double)map->n_groups;
-        if (share > best_share) {
+        if (!best || share > best_share) {
             best_share = share;
             best = map;
         }
