tests: matrix: every fault at every step, twice and in pairs

Cause: the promises were checked by hand only. 81 pairs of faults run for queries and single-run calls, with aborts, a new catalogue, a pause and a stop after each step; a small model in the test works out what must hold.

--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -157,6 +157,9 @@
 uint64_t
 LrEngine_Submit(LrEngine *engine, LrTime now, const LrRequest *request)
 {
+    if (engine->advanced_at == 0) {
+        engine->advanced_at = now;
+    }
     uint64_t id = LrQuery_Submit(engine, now, request);
     settle(engine, now);
     return id;
--- /dev/null
+++ b/tests/test_matrix.cc
@@ -0,0 +1,251 @@
+// Fault matrix: every fault at every step of a request, faults twice and in
+// pairs, under virtual time. What must hold is worked out by a small model
+// of the promises, not by the engine.
+#include <set>
+
+#include "world.h"
+
+namespace {
+
+// What becomes of one attempt, and when.
+enum Fault {
+    NONE,
+    CONNECT_FAILED,
+    SHED,
+    BROKEN,
+    GARBAGE,
+    WRONG_VERSION,
+    REJECTED,
+    TIMEOUT,
+    LATE,
+    N_FAULTS,
+};
+
+const char *const NAMES[] = {"none",     "connect_failed", "shed",
+                             "broken",   "garbage",        "wrong_version",
+                             "rejected", "timeout",        "late"};
+
+// What else happens, and after how many of the other shards answered.
+enum Event { NOTHING, ABORT, NEW_CATALOGUE, PAUSE, STOP, N_EVENTS };
+
+bool
+proves_not_run(Fault fault)
+{
+    return fault == CONNECT_FAILED || fault == SHED;
+}
+
+bool
+ends_part(Fault fault)
+{
+    return fault == TIMEOUT || fault == LATE || fault == REJECTED;
+}
+
+class Run {
+  public:
+    Run(const char *entry, bool call, Fault first, Fault second, Event event,
+        int step)
+        : call_(call), faults_{first, second}, event_(event), step_(step)
+    {
+        id_ = world_.submit(entry, call);
+        faulty_ = call ? world_.sends.front().shard : "g1";
+        if (step_ == 0) {
+            happen();
+        }
+        drive();
+        world_.advance(LR_SECOND);
+        for (const Send &send : late_) {
+            world_.reply(send, LR_REPLY_OK);
+        }
+    }
+
+    void
+    check()
+    {
+        size_t expected = aborted_ ? 0 : 1;
+        ASSERT_EQ(world_.answers.size(), expected);
+        EXPECT_EQ(world_.in_flight(), 0u) << "a place was not given back";
+        EXPECT_EQ(LrEngine_Running(world_.engine), 0u);
+        if (call_) {
+            EXPECT_LE(runs_, 1) << "a non-idempotent request ran twice";
+        }
+        if (world_.answers.empty()) {
+            return;
+        }
+        const Answer &answer = world_.answers[0];
+        if (answer.outcome == LR_OUTCOME_NOT_RUN) {
+            EXPECT_EQ(runs_, 0) << "not_run, but a target ran it";
+        }
+        for (const auto &[shard, body] : answer.bodies) {
+            EXPECT_EQ(body.substr(0, body.find('@')), shard);
+            EXPECT_TRUE(honest_.count(body)) << "a body that was not valid";
+        }
+        if (event_ == NOTHING || event_ == NEW_CATALOGUE || event_ == STOP) {
+            check_outcome(answer);
+        }
+    }
+
+  private:
+    void
+    happen()
+    {
+        switch (event_) {
+        case ABORT:
+            aborted_ = world_.answers.empty();
+            world_.cancel(id_);
+            break;
+        case NEW_CATALOGUE:
+            world_.publish({1, 2});
+            break;
+        case PAUSE:
+            world_.pause(3 * LR_SECOND);
+            break;
+        case STOP:
+            LrEngine_Stop(world_.engine);
+            break;
+        default:
+            break;
+        }
+    }
+
+    void
+    run_one(const Send &send, Fault fault)
+    {
+        static const LrReplyStatus statuses[] = {
+            LR_REPLY_OK,      LR_REPLY_CONNECT_FAILED, LR_REPLY_SHED,
+            LR_REPLY_BROKEN,  LR_REPLY_GARBAGE,        LR_REPLY_OK,
+            LR_REPLY_REJECTED};
+        runs_ += !proves_not_run(fault);
+        if (fault == TIMEOUT) {
+            return;
+        }
+        if (fault == LATE) {
+            late_.push_back(send);
+            return;
+        }
+        if (fault == NONE) {
+            honest_.insert(send.shard + "@" + std::to_string(send.attempt));
+        }
+        world_.reply(send, statuses[fault], fault == WRONG_VERSION ? 9 : -1);
+        if (fault == NONE) {
+            world_.reply(send, LR_REPLY_OK);
+        }
+    }
+
+    void
+    drive()
+    {
+        int n_answered = 0;
+        while (!world_.sends.empty()) {
+            Send send = world_.take();
+            Fault fault = NONE;
+            if (send.shard == faulty_) {
+                fault = n_faulty_ < 2 ? faults_[n_faulty_] : NONE;
+                n_faulty_++;
+            }
+            world_.advance(LR_MILLISECOND);
+            run_one(send, fault);
+            n_answered++;
+            if (n_answered == step_) {
+                happen();
+            }
+        }
+    }
+
+    // Whether the promises demand an answer from the faulty shard.
+    bool
+    part_must_answer() const
+    {
+        // In flight at the death of two targets: it is quarantined.
+        if (faults_[0] == BROKEN && faults_[1] == BROKEN) {
+            return false;
+        }
+        for (Fault fault : faults_) {
+            if (fault == NONE) {
+                return true;
+            }
+            if (ends_part(fault) || (call_ && !proves_not_run(fault))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void
+    check_outcome(const Answer &answer)
+    {
+        bool whole = part_must_answer();
+        LrOutcome expected = LR_OUTCOME_COMPLETE;
+        if (!whole && call_) {
+            expected = LR_OUTCOME_UNKNOWN;
+        }
+        else if (!whole) {
+            expected = LR_OUTCOME_PARTIAL;
+        }
+        EXPECT_EQ(answer.outcome, expected)
+            << LrOutcome_Names[answer.outcome] << " because of "
+            << LrReason_Names[answer.reason];
+        if (!whole && !call_) {
+            EXPECT_EQ(answer.missing.size(), 1u);
+            EXPECT_TRUE(answer.missing.count("g1"));
+        }
+    }
+
+    World world_;
+    bool call_;
+    Fault faults_[2];
+    Event event_;
+    int step_;
+    uint64_t id_;
+    std::string faulty_;
+    int n_faulty_ = 0;
+    int runs_ = 0;
+    bool aborted_ = false;
+    std::set<std::string> honest_;
+    std::vector<Send> late_;
+};
+
+void
+run_all(const char *entry, bool call, Event event, int step)
+{
+    for (int first = NONE; first < N_FAULTS; first++) {
+        for (int second = NONE; second < N_FAULTS; second++) {
+            SCOPED_TRACE(testing::Message()
+                         << entry << ": " << NAMES[first] << " then "
+                         << NAMES[second] << ", event " << event << " at step "
+                         << step);
+            Run run(entry, call, static_cast<Fault>(first),
+                    static_cast<Fault>(second), event, step);
+            run.check();
+        }
+    }
+}
+
+} // namespace
+
+TEST(Matrix, QueryFaultsOnceTwiceAndInPairs)
+{
+    run_all("ask", false, NOTHING, 0);
+}
+
+TEST(Matrix, SingleRunFaultsOnceTwiceAndInPairs)
+{
+    run_all("once", true, NOTHING, 0);
+}
+
+TEST(Matrix, QueryFaultsWithAnEventAtEveryStep)
+{
+    for (int event = ABORT; event < N_EVENTS; event++) {
+        for (int step = 0; step <= 4; step++) {
+            run_all("ask", false, static_cast<Event>(event), step);
+        }
+    }
+}
+
+TEST(Matrix, SingleRunFaultsWithAnEventAtEveryStep)
+{
+    for (int event = ABORT; event < N_EVENTS; event++) {
+        for (int step = 0; step <= 2; step++) {
+            run_all("once", true, static_cast<Event>(event), step);
+        }
+    }
+}
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,265 @@
+// An engine whose edge is the test: sends, cancels and answers are lists.
+#ifndef LAVENDERRAIL_TESTS_WORLD_H
+#define LAVENDERRAIL_TESTS_WORLD_H
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "lavenderrail.h"
+
+struct Send {
+    uint64_t attempt;
+    std::string shard;
+    std::string address;
+    int64_t version;
+    LrTime deadline;
+};
+
+struct Answer {
+    LrOutcome outcome;
+    LrReason reason;
+    int64_t version;
+    std::map<std::string, std::string> bodies;
+    std::map<std::string, LrReason> missing;
+    LrTime at;
+};
+
+class World {
+  public:
+    static constexpr LrTime kMs = LR_MILLISECOND;
+
+    explicit World(int n_groups = 3, int n_replicas = 3)
+        : n_groups_(n_groups), n_replicas_(n_replicas)
+    {
+        counters = LrCounters_New();
+        LrEngineConfig config = {};
+        config.zone = LrStr_FromC("z0");
+        config.seed = 3;
+        config.hedge_share = 0.03;
+        config.retry_share = 0.1;
+        config.policy = &LrRoutePolicy_Estimate;
+        config.counters = counters;
+        engine = LrEngine_New(&config);
+        publish({1});
+    }
+    ~World()
+    {
+        LrEngine_Free(engine);
+        LrCounters_Free(counters);
+    }
+
+    std::string
+    catalogue(const std::vector<int> &versions) const
+    {
+        std::string text = "{\"revision\":" + std::to_string(revision_ + 1) +
+                           ",\"services\":[{\"name\":\"s\",\"maps\":[";
+        for (size_t v = 0; v < versions.size(); v++) {
+            text += v ? ",{" : "{";
+            text +=
+                "\"version\":" + std::to_string(versions[v]) + ",\"groups\":[";
+            for (int g = 0; g < n_groups_; g++) {
+                text += g ? ",{" : "{";
+                text +=
+                    "\"name\":\"g" + std::to_string(g) + "\",\"replicas\":[";
+                for (int r = 0; r < n_replicas_; r++) {
+                    std::string id = std::to_string(g * n_replicas_ + r);
+                    text += r ? ",{" : "{";
+                    text += "\"name\":\"t" + id + "\",\"address\":\"127.0.0." +
+                            id + ":1\",\"zone\":\"z" + std::to_string(r) +
+                            "\"}";
+                }
+                text += "]}";
+            }
+            text += "]}";
+        }
+        text += "]}],\"entries\":[" + entries + "]}";
+        return text;
+    }
+
+    void
+    publish(const std::vector<int> &versions)
+    {
+        std::string text = catalogue(versions);
+        revision_++;
+        LrFaults *faults = LrFaults_New();
+        LrCatalogue *parsed =
+            LrCatalogue_Parse(LrStr{text.data(), text.size()}, faults);
+        ASSERT_NE(parsed, nullptr);
+        LrEngine_SetCatalogue(engine, now, parsed);
+        LrCatalogue_Unref(parsed);
+        LrFaults_Free(faults);
+        collect();
+    }
+
+    uint64_t
+    submit(const char *entry, bool call = false, const char *body = "{}")
+    {
+        LrRequest request = {};
+        request.entry = LrStr_FromC(entry);
+        request.body = g_bytes_new(body, strlen(body));
+        request.call = call;
+        request.routing_key = LrStr_FromC("k");
+        uint64_t id = LrEngine_Submit(engine, now, &request);
+        g_bytes_unref(request.body);
+        collect();
+        return id;
+    }
+
+    void
+    reply(const Send &send, LrReplyStatus status, int64_t version = -1)
+    {
+        LrReply got = {};
+        std::string body = send.shard + "@" + std::to_string(send.attempt);
+        got.status = status;
+        got.version = version < 0 ? send.version : version;
+        got.body = g_bytes_new(body.data(), body.size());
+        LrEngine_Advance(engine, now);
+        collect();
+        LrEngine_OnReply(engine, now, send.attempt, &got);
+        g_bytes_unref(got.body);
+        collect();
+    }
+
+    void
+    cancel(uint64_t id)
+    {
+        LrEngine_Cancel(engine, now, id);
+        collect();
+    }
+
+    void
+    advance(LrTime by)
+    {
+        LrTime until = now + by;
+        while (LrEngine_NextTimer(engine) <= until) {
+            now = std::max(now, LrEngine_NextTimer(engine));
+            LrEngine_Advance(engine, now);
+            collect();
+        }
+        now = until;
+        LrEngine_Advance(engine, now);
+        collect();
+    }
+
+    // The process sleeps: no timer fires until it wakes.
+    void
+    pause(LrTime by)
+    {
+        now += by;
+        LrEngine_Advance(engine, now);
+        collect();
+    }
+
+    Send
+    take()
+    {
+        Send send = sends.front();
+        sends.pop_front();
+        return send;
+    }
+
+    uint64_t
+    count(LrCounterId id) const
+    {
+        return counters->values[id];
+    }
+
+    LrTarget *
+    target(const std::string &address)
+    {
+        return LrRouter_Lookup(LrEngine_Router(engine),
+                               LrStr{address.data(), address.size()});
+    }
+
+    // Requests that the engine believes to be at targets.
+    unsigned
+    in_flight()
+    {
+        unsigned total = 0;
+        LrRouter_Each(
+            LrEngine_Router(engine),
+            [](void *data, LrTarget *one) {
+                *static_cast<unsigned *>(data) += one->in_flight;
+            },
+            &total);
+        return total;
+    }
+
+    std::string entries =
+        R"({"name":"ask","owner":"o","service":"s","deadline_ms":500},
+           {"name":"soft","owner":"o","service":"s","deadline_ms":500,
+            "soft_deadline_ms":100,"min_coverage":0.6},
+           {"name":"once","owner":"o","service":"s","deadline_ms":500,
+            "idempotent":false},
+           {"name":"two","owner":"o","service":"s","deadline_ms":500,
+            "max_concurrency":2},
+           {"name":"slowly","owner":"o","service":"s","deadline_ms":500,
+            "rate_per_s":1},
+           {"name":"now","owner":"o","service":"s","deadline_ms":500,
+            "class":"urgent"})";
+    LrEngine *engine;
+    LrCounters *counters;
+    LrTime now = LR_SECOND;
+    std::deque<Send> sends;
+    std::vector<uint64_t> cancels;
+    std::vector<Answer> answers;
+
+  private:
+    static std::string
+    text(LrStr str)
+    {
+        return {str.ptr, str.len};
+    }
+
+    void
+    take_answer(LrAnswer *got)
+    {
+        Answer answer = {};
+        answer.outcome = got->outcome;
+        answer.reason = got->reason;
+        answer.version = got->version;
+        answer.at = now;
+        for (size_t i = 0; i < got->n_parts; i++) {
+            const LrAnswerPart &part = got->parts[i];
+            if (part.reason == LR_REASON_NONE) {
+                answer.bodies[text(part.shard)] =
+                    text(LrStr_FromBytes(part.body));
+            }
+            else {
+                answer.missing[text(part.shard)] = part.reason;
+            }
+        }
+        EXPECT_EQ(answer.bodies.size(), got->n_answered);
+        answers.push_back(answer);
+        LrAnswer_Free(got);
+    }
+
+    void
+    collect()
+    {
+        LrAction action;
+        while (LrEngine_NextAction(engine, &action)) {
+            if (action.kind == LR_ACTION_SEND) {
+                sends.push_back({action.attempt, text(action.shard),
+                                 text(action.target->address), action.version,
+                                 action.deadline});
+            }
+            else if (action.kind == LR_ACTION_CANCEL) {
+                cancels.push_back(action.attempt);
+            }
+            else {
+                take_answer(action.answer);
+            }
+        }
+    }
+
+    int n_groups_;
+    int n_replicas_;
+    int revision_ = 0;
+};
+
+#endif
