--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -29,7 +29,11 @@
     }
     query->suspect = verdict == LR_VERDICT_SUSPECT;
     LrEntryState *state = query->entry->state;
-    if (state->running >= query->entry->spec->max_concurrency ||
+    const LrEntrySpec *spec = query->entry->spec;
+    double rate = (double)LrShare_Of(&engine->share, spec->rate_per_s);
+    state->rate.per_second = rate;
+    state->rate.cap = rate;
+    if (state->running >= LrShare_Of(&engine->share, spec->max_concurrency) ||
         !LrBucket_Take(&state->rate, now)) {
         return LR_REASON_ENTRY_LIMIT;
     }
--- a/liblavenderrail/api.c
+++ b/liblavenderrail/api.c
@@ -170,7 +170,7 @@
     if (!pending) {
         return;
     }
-    if (pending->row || pending->answered) {
+    if (pending->row || pending->forwarded) {
         LrKeyed_Gone(daemon, exchange);
         return;
     }
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -174,7 +174,10 @@
 on_catalogue(void *data, LrCatalogue *catalogue)
 {
     LrDaemon *daemon = data;
+    const LrStore *store = LrWatch_Store(daemon->watch);
     LrEngine_SetCatalogue(daemon->engine, LrLoop_Now(), catalogue);
+    LrMembers_SetCatalogue(daemon->members, LrStore_Revision(store),
+                           LrStore_Digest(store));
     LrDaemon_Settle(daemon);
 }
 
@@ -184,7 +187,7 @@
     LrDaemon *daemon = data;
     LrRouter *router = LrEngine_Router(daemon->engine);
     LrTime now = LrLoop_Now();
-    daemon->hosts_known = true;
+    LrMembers_OnHosts(daemon->members, list, now);
     for (size_t i = 0; i < list->spec.n_hosts; i++) {
         const LrHostSpec *host = &list->spec.hosts[i];
         LrTarget *target = LrRouter_Lookup(router, host->address);
@@ -307,11 +310,12 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_sent);
     daemon->client = LrClient_New(loop, 0, (size_t)settings->max_body_bytes);
     start_timers(daemon);
-    start_watch(daemon);
-    if (!open_servers(daemon, error)) {
+    daemon->forwarded = g_hash_table_new(g_int64_hash, g_int64_equal);
+    if (!LrFleet_Start(daemon, error) || !open_servers(daemon, error)) {
         LrDaemon_Free(daemon);
         return NULL;
     }
+    start_watch(daemon);
     LR_LOG(log, LOG_NOTICE, "started", LrLog_Str("name", settings->name),
            LrLog_Str("zone", settings->zone),
            LrLog_Str("listen", settings->listen),
@@ -328,6 +332,7 @@
     ev_timer_stop(daemon->loop, &daemon->timer);
     ev_timer_stop(daemon->loop, &daemon->tick);
     ev_timer_stop(daemon->loop, &daemon->stop_timer);
+    LrFleet_Stop(daemon);
     LrWatch_Free(daemon->watch);
     LrServer_Free(daemon->callers);
     LrServer_Free(daemon->operators);
@@ -336,6 +341,7 @@
     LrLedger_Free(daemon->ledger);
     LrCounters_Free(daemon->counters);
     g_hash_table_unref(daemon->sent);
+    g_hash_table_unref(daemon->forwarded);
     g_free(daemon);
 }
 
@@ -358,6 +364,7 @@
         return;
     }
     daemon->stopping = true;
+    LrMembers_Leave(daemon->members, LrLoop_Now());
     LR_LOG(daemon->log, LOG_NOTICE, "stopping",
            LrLog_Str("name", daemon->settings.name),
            LrLog_Int("wait_ms", daemon->settings.drain_wait_ms));
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -10,11 +10,16 @@
 typedef struct {
     LrDaemon *daemon;
     LrExchange *exchange;
+    /* Peer that forwarded the request, and its id for it. */
+    char *reply_to;
+    int64_t remote_id;
     uint64_t query;
     LrLedgerRow *row;
-    void (*answered)(void *request, LrOutcome outcome, unsigned status,
-                     GBytes *answer);
-    void *data;
+    /* A request that this daemon forwarded. */
+    bool forwarded;
+    int64_t id;
+    char *coordinator;
+    ev_timer timer;
 } LrPending;
 
 struct LrDaemon {
@@ -30,15 +35,20 @@
     LrWatch *watch;
     const LrWire *wire;
     GHashTable *sent;
+    LrPeers *peers;
+    LrMembers *members;
+    GHashTable *forwarded;
+    int64_t next_forward;
+    ev_timer probe_timer;
+    LrTime heard_at;
+    LrTime asked_at;
     ev_timer timer;
     ev_timer tick;
     ev_timer stop_timer;
     int64_t incarnation;
     LrTime started_at;
-    bool hosts_known;
     bool stopping;
     bool finished_waiting;
-    size_t open_requests;
 };
 
 /* daemon.c */
@@ -60,6 +70,14 @@
 void LrKeyed_Gone(LrDaemon *daemon, LrExchange *exchange);
 char *LrKeyed_Issue(LrDaemon *daemon);
 void LrKeyed_Answered(LrPending *pending, const LrAnswer *answer);
+void LrKeyed_OnCall(LrDaemon *daemon, const LrCallMsg *message);
+void LrKeyed_OnAnswer(LrDaemon *daemon, const LrCallAnswerMsg *message);
+void LrKeyed_LinkLost(LrDaemon *daemon, LrStr address);
+
+/* fleet.c */
+bool LrFleet_Start(LrDaemon *daemon, GError **error);
+void LrFleet_Stop(LrDaemon *daemon);
+struct json_t *LrFleet_Dump(const LrDaemon *daemon);
 
 /* operator.c */
 void LrOperator_Request(void *daemon, LrExchange *exchange);
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -82,7 +82,7 @@
                       quarantined);
     json_t *json = json_pack(
         "{s:o, s:o, s:I, s:I, s:b, s:b, s:I, s:I, s:o, s:o, s:o, s:o, s:o,"
-        " s:o}",
+        " s:o, s:o}",
         "name", str_json(daemon->settings.name), "zone",
         str_json(daemon->settings.zone), "incarnation",
         (json_int_t)daemon->incarnation, "uptime_ms",
@@ -93,7 +93,7 @@
         "catalogue", LrWatch_Dump(daemon->watch), "settings",
         LrRecord_WriteJson(&LrSettings_Spec, &daemon->settings), "entries",
         dump_entries(LrEngine_View(daemon->engine)), "targets", targets,
-        "quarantine", quarantined, "counters",
+        "quarantine", quarantined, "members", LrFleet_Dump(daemon), "counters",
         dump_counters(daemon->counters));
     char *text = json_dumps(json, JSON_INDENT(1));
     char *copy = g_strdup(text);
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -27,6 +27,7 @@
     LrBucket_Init(&engine->hedges, 0, HEDGE_BURST, 0);
     engine->hedges.tokens = 0;
     LrBucket_Init(&engine->retries, RETRY_PER_SECOND, RETRY_BURST, 0);
+    LrShare_Init(&engine->share);
     TAILQ_INIT(&engine->queries);
     engine->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
     engine->attempts = g_ptr_array_new_with_free_func(g_free);
@@ -270,6 +271,12 @@
     return false;
 }
 
+void
+LrEngine_SetShare(LrEngine *engine, LrTime now, unsigned rank, unsigned count)
+{
+    LrShare_Set(&engine->share, now, rank, count);
+}
+
 size_t
 LrEngine_Running(const LrEngine *engine)
 {
--- /dev/null
+++ b/liblavenderrail/fleet.c
@@ -0,0 +1,304 @@
+/* What a daemon does together with its peers: membership, the spread of the
+ * catalogue and of quarantines, and forwarded keyed requests. */
+#include "daemon.h"
+
+#include <stdlib.h>
+
+#include <jansson.h>
+
+/* Daemons of a zone that read the configuration service. */
+enum { READERS = 2, MAX_CONDEMNED = 4 };
+
+/* An unanswered request for a delta is repeated after this time. */
+#define ASK_AGAIN (2 * LR_SECOND)
+
+static const LrObjectSpec *const SPECS[] = {
+    [LR_MSG_PROBE] = &LrProbeMsg_Spec,
+    [LR_MSG_ASK] = &LrAskMsg_Spec,
+    [LR_MSG_DELTA] = &LrDeltaMsg_Spec,
+    [LR_MSG_CALL] = &LrCallMsg_Spec,
+    [LR_MSG_CALL_ANSWER] = &LrCallAnswerMsg_Spec,
+};
+
+typedef struct {
+    LrCondemnedMsg rows[MAX_CONDEMNED];
+    char texts[MAX_CONDEMNED][20];
+    size_t n;
+    LrTime now;
+} Condemned;
+
+static void
+collect_condemned(void *data, uint64_t fingerprint, unsigned strikes,
+                  LrTime until)
+{
+    Condemned *found = data;
+    if (strikes < 2 || found->n == MAX_CONDEMNED || until <= found->now) {
+        return;
+    }
+    char *text = found->texts[found->n];
+    g_snprintf(text, sizeof(found->texts[0]), "%016" G_GINT64_MODIFIER "x",
+               fingerprint);
+    found->rows[found->n] = (LrCondemnedMsg){
+        .fingerprint = LrStr_FromC(text),
+        .left_ms = (until - found->now) / LR_MILLISECOND,
+    };
+    found->n++;
+}
+
+static void
+send_probe(void *data, LrStr address, const LrProbeMsg *message)
+{
+    LrDaemon *daemon = data;
+    Condemned found = {.now = LrLoop_Now()};
+    LrQuarantine_Each(LrEngine_Quarantine(daemon->engine), collect_condemned,
+                      &found);
+    LrProbeMsg whole = *message;
+    whole.condemned = found.rows;
+    whole.n_condemned = found.n;
+    LrPeers_Send(daemon->peers, address, &LrProbeMsg_Spec, &whole);
+}
+
+static void
+take_condemned(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
+{
+    for (size_t i = 0; i < message->n_condemned; i++) {
+        const LrCondemnedMsg *row = &message->condemned[i];
+        g_autofree char *text = LrStr_Dup(row->fingerprint);
+        uint64_t fingerprint;
+        if (g_ascii_string_to_unsigned(text, 16, 0, UINT64_MAX, &fingerprint,
+                                       NULL)) {
+            LrQuarantine_Condemn(LrEngine_Quarantine(daemon->engine),
+                                 fingerprint,
+                                 now + row->left_ms * LR_MILLISECOND);
+        }
+    }
+}
+
+static int64_t
+own_revision(const LrDaemon *daemon)
+{
+    return LrStore_Revision(LrWatch_Store(daemon->watch));
+}
+
+/* Asks a peer that has a newer catalogue for what changed. */
+static void
+ask_if_newer(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
+{
+    if (message->revision <= own_revision(daemon) ||
+        message->revision == LrWatch_RefusedRevision(daemon->watch) ||
+        now - daemon->asked_at < ASK_AGAIN) {
+        return;
+    }
+    daemon->asked_at = now;
+    LrAskMsg ask = {
+        .revision = own_revision(daemon),
+        .reply_to = daemon->settings.peer_listen,
+    };
+    LrPeers_Send(daemon->peers, message->news[0].address, &LrAskMsg_Spec,
+                 &ask);
+}
+
+static void
+on_probe(LrDaemon *daemon, const LrProbeMsg *message)
+{
+    LrTime now = LrLoop_Now();
+    LrMembers_OnProbe(daemon->members, message, now);
+    daemon->heard_at = now;
+    take_condemned(daemon, message, now);
+    if (message->n_news > 0) {
+        ask_if_newer(daemon, message, now);
+    }
+}
+
+static void
+send_delta(LrDaemon *daemon, LrStr address, int64_t since)
+{
+    LrArena *arena = LrArena_New();
+    LrDeltaMsg delta;
+    LrStore_Delta(LrWatch_Store(daemon->watch), since, arena, &delta);
+    LrCounters_Add(daemon->counters, LR_COUNT_CATALOGUE_DELTAS, 1);
+    LrPeers_Send(daemon->peers, address, &LrDeltaMsg_Spec, &delta);
+    LrArena_Free(arena);
+}
+
+static void
+on_ask(LrDaemon *daemon, const LrAskMsg *message)
+{
+    if (own_revision(daemon) > message->revision) {
+        send_delta(daemon, message->reply_to, message->revision);
+    }
+}
+
+static void
+on_delta(LrDaemon *daemon, const LrDeltaMsg *message)
+{
+    daemon->asked_at = 0;
+    if (message->revision <= own_revision(daemon)) {
+        return;
+    }
+    LrStore *store = LrStore_Apply(LrWatch_Store(daemon->watch), message);
+    if (!store) {
+        LR_LOG(daemon->log, LOG_WARNING, "delta_unfit",
+               LrLog_Int("revision", message->revision),
+               LrLog_Int("since", message->since));
+        return;
+    }
+    LrWatch_Offer(daemon->watch, store, "peer");
+}
+
+static void
+dispatch(LrDaemon *daemon, int tag, const void *message)
+{
+    switch (tag) {
+    case LR_MSG_PROBE:
+        on_probe(daemon, message);
+        break;
+    case LR_MSG_ASK:
+        on_ask(daemon, message);
+        break;
+    case LR_MSG_DELTA:
+        on_delta(daemon, message);
+        break;
+    case LR_MSG_CALL:
+        LrKeyed_OnCall(daemon, message);
+        break;
+    case LR_MSG_CALL_ANSWER:
+        LrKeyed_OnAnswer(daemon, message);
+        break;
+    default:
+        break;
+    }
+}
+
+/* False when the message breaks the protocol. Messages of a kind that this
+ * version does not know are passed over. */
+static bool
+on_message(void *data, LrStr frame)
+{
+    LrDaemon *daemon = data;
+    int tag = LrRecord_PeekTag(frame);
+    if (tag < 0) {
+        return false;
+    }
+    if ((size_t)tag >= G_N_ELEMENTS(SPECS) || !SPECS[tag]) {
+        return true;
+    }
+    LrEngine_Advance(daemon->engine, LrLoop_Now());
+    LrArena *arena = LrArena_New();
+    void *message = LrArena_Alloc(arena, SPECS[tag]->size);
+    bool valid = LrRecord_Unpack(SPECS[tag], frame, message, arena, NULL);
+    if (valid) {
+        dispatch(daemon, tag, message);
+    }
+    LrArena_Free(arena);
+    LrDaemon_Settle(daemon);
+    return valid;
+}
+
+static void
+on_lost(void *data, LrStr address)
+{
+    LrKeyed_LinkLost(data, address);
+}
+
+/* A few daemons a zone read the service; the others do when they have heard
+ * nothing from their peers. */
+static void
+choose_readers(LrDaemon *daemon, LrTime now)
+{
+    LrTime silence = LrMembers_SuspectTime(daemon->members);
+    bool alone = now - daemon->heard_at > silence;
+    bool reader = LrMembers_ZoneRank(daemon->members) < READERS;
+    bool known = LrEngine_View(daemon->engine) != NULL;
+    LrWatch_SetReading(daemon->watch, reader || alone || !known);
+}
+
+static void
+on_interval(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    LrDaemon *daemon = timer->data;
+    LrTime now = LrLoop_Now();
+    LrMembers_Tick(daemon->members, now);
+    choose_readers(daemon, now);
+    unsigned count;
+    unsigned rank = LrMembers_ListRank(daemon->members, &count);
+    LrEngine_SetShare(daemon->engine, now, rank, count);
+}
+
+static LrMembers *
+new_members(LrDaemon *daemon)
+{
+    LrMembersConfig config = {
+        .name = daemon->settings.name,
+        .zone = daemon->settings.zone,
+        .address = daemon->settings.peer_listen,
+        .incarnation = daemon->incarnation,
+        .interval = daemon->settings.probe_ms * LR_MILLISECOND,
+        .random = LrEngine_Random(daemon->engine),
+        .log = daemon->log,
+        .counters = daemon->counters,
+        .send = send_probe,
+        .data = daemon,
+    };
+    return LrMembers_New(&config, LrLoop_Now());
+}
+
+bool
+LrFleet_Start(LrDaemon *daemon, GError **error)
+{
+    LrPeersConfig config = {
+        .loop = daemon->loop,
+        .listen = daemon->settings.peer_listen,
+        .name = daemon->settings.name,
+        .incarnation = daemon->incarnation,
+        .log = daemon->log,
+        .counters = daemon->counters,
+        .message = on_message,
+        .lost = on_lost,
+        .data = daemon,
+    };
+    daemon->peers = LrPeers_New(&config, error);
+    if (!daemon->peers) {
+        return false;
+    }
+    daemon->members = new_members(daemon);
+    daemon->heard_at = LrLoop_Now();
+    double seconds = (double)daemon->settings.probe_ms / 1000;
+    ev_timer_init(&daemon->probe_timer, on_interval, seconds, seconds);
+    daemon->probe_timer.data = daemon;
+    ev_timer_start(daemon->loop, &daemon->probe_timer);
+    return true;
+}
+
+void
+LrFleet_Stop(LrDaemon *daemon)
+{
+    ev_timer_stop(daemon->loop, &daemon->probe_timer);
+    LrPeers_Free(daemon->peers);
+    daemon->peers = NULL;
+    LrMembers_Free(daemon->members);
+    daemon->members = NULL;
+}
+
+json_t *
+LrFleet_Dump(const LrDaemon *daemon)
+{
+    json_t *list = json_array();
+    for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
+        const LrMember *member = LrMembers_Get(daemon->members, i);
+        json_array_append_new(
+            list, json_pack("{s:s%, s:s%, s:s%, s:s, s:I, s:I, s:b, s:I}",
+                            "name", member->name.ptr, member->name.len, "zone",
+                            member->zone.ptr, member->zone.len, "address",
+                            member->address.ptr, member->address.len, "state",
+                            LrMemberState_Names[member->state], "incarnation",
+                            (json_int_t)member->incarnation, "serial",
+                            (json_int_t)member->serial, "listed",
+                            member->listed, "since_ms",
+                            (json_int_t)((LrLoop_Now() - member->since) /
+                                         LR_MILLISECOND)));
+    }
+    return list;
+}
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -555,6 +555,29 @@
     .n_fields = G_N_ELEMENTS(LrMemberMsg_Fields),
 };
 
+static const LrFieldSpec LrCondemnedMsg_Fields[] = {
+    {.name = "fingerprint",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrCondemnedMsg, fingerprint),
+     .hint = "16 hexadecimal digits",
+     .required = true},
+    {.name = "left_ms",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrCondemnedMsg, left_ms),
+     .hint = "time left, milliseconds",
+     .required = true,
+     .min = 0,
+     .max = 3600000},
+};
+
+const LrObjectSpec LrCondemnedMsg_Spec = {
+    .name = "LrCondemnedMsg",
+    .size = sizeof(LrCondemnedMsg),
+    .tag = 0,
+    .fields = LrCondemnedMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrCondemnedMsg_Fields),
+};
+
 static const LrFieldSpec LrProbeMsg_Fields[] = {
     {.name = "sequence",
      .kind = LR_FIELD_INT,
@@ -586,6 +609,17 @@
      .hint = "member states to spread",
      .count_offset = offsetof(LrProbeMsg, n_news),
      .object = &LrMemberMsg_Spec},
+    {.name = "digest",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrProbeMsg, digest),
+     .hint = "digest of the catalogue in force at the sender",
+     .fallback_str = ""},
+    {.name = "condemned",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrProbeMsg, condemned),
+     .hint = "quarantined requests to spread",
+     .count_offset = offsetof(LrProbeMsg, n_condemned),
+     .object = &LrCondemnedMsg_Spec},
 };
 
 const LrObjectSpec LrProbeMsg_Spec = {
@@ -596,27 +630,91 @@
     .n_fields = G_N_ELEMENTS(LrProbeMsg_Fields),
 };
 
-static const LrFieldSpec LrCatalogueMsg_Fields[] = {
+static const LrFieldSpec LrValueMsg_Fields[] = {
+    {.name = "name",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrValueMsg, name),
+     .hint = "service/NAME or entry/NAME",
+     .required = true},
     {.name = "revision",
      .kind = LR_FIELD_INT,
-     .offset = offsetof(LrCatalogueMsg, revision),
-     .hint = "revision held by the sender",
+     .offset = offsetof(LrValueMsg, revision),
+     .hint = "revision that changed it last",
      .required = true,
      .min = 0,
      .max = 9007199254740991},
-    {.name = "document",
+    {.name = "text",
      .kind = LR_FIELD_STR,
-     .offset = offsetof(LrCatalogueMsg, document),
-     .hint = "catalogue JSON; empty asks for a newer one",
+     .offset = offsetof(LrValueMsg, text),
+     .hint = "JSON text; empty when the value was removed",
      .fallback_str = ""},
 };
 
-const LrObjectSpec LrCatalogueMsg_Spec = {
-    .name = "LrCatalogueMsg",
-    .size = sizeof(LrCatalogueMsg),
+const LrObjectSpec LrValueMsg_Spec = {
+    .name = "LrValueMsg",
+    .size = sizeof(LrValueMsg),
+    .tag = 0,
+    .fields = LrValueMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrValueMsg_Fields),
+};
+
+static const LrFieldSpec LrAskMsg_Fields[] = {
+    {.name = "revision",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrAskMsg, revision),
+     .hint = "revision in force at the sender; 0 for none",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "reply_to",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrAskMsg, reply_to),
+     .hint = "peer IP:port of the sender",
+     .required = true},
+};
+
+const LrObjectSpec LrAskMsg_Spec = {
+    .name = "LrAskMsg",
+    .size = sizeof(LrAskMsg),
     .tag = 3,
-    .fields = LrCatalogueMsg_Fields,
-    .n_fields = G_N_ELEMENTS(LrCatalogueMsg_Fields),
+    .fields = LrAskMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrAskMsg_Fields),
+};
+
+static const LrFieldSpec LrDeltaMsg_Fields[] = {
+    {.name = "since",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrDeltaMsg, since),
+     .hint = "revision that the receiver has; 0 for none",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "revision",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrDeltaMsg, revision),
+     .hint = "revision that results",
+     .required = true,
+     .min = 1,
+     .max = 9007199254740991},
+    {.name = "digest",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrDeltaMsg, digest),
+     .hint = "digest of the result",
+     .required = true},
+    {.name = "values",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrDeltaMsg, values),
+     .hint = "changed and removed values",
+     .count_offset = offsetof(LrDeltaMsg, n_values),
+     .object = &LrValueMsg_Spec},
+};
+
+const LrObjectSpec LrDeltaMsg_Spec = {
+    .name = "LrDeltaMsg",
+    .size = sizeof(LrDeltaMsg),
+    .tag = 6,
+    .fields = LrDeltaMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrDeltaMsg_Fields),
 };
 
 static const LrFieldSpec LrCallMsg_Fields[] = {
@@ -649,6 +747,11 @@
      .offset = offsetof(LrCallMsg, body),
      .hint = "request body",
      .fallback_str = ""},
+    {.name = "reply_to",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrCallMsg, reply_to),
+     .hint = "peer IP:port of the sender",
+     .fallback_str = ""},
 };
 
 const LrObjectSpec LrCallMsg_Spec = {
@@ -724,6 +827,9 @@
     "peer_messages",
     "peer_bytes",
     "peer_errors",
+    "members_suspected",
+    "members_refuted",
+    "catalogue_deltas",
 };
 
 const char *const LrCounterId_Help[] = {
@@ -755,6 +861,9 @@
     "Peer messages sent.",
     "Peer bytes sent.",
     "Peer links closed for a protocol error.",
+    "Peers that this daemon began to suspect.",
+    "Suspicions of this daemon that it refuted.",
+    "Catalogue deltas sent to peers.",
 };
 
 /* clang-format on */
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -268,6 +268,15 @@
 } LrMemberMsg;
 extern const LrObjectSpec LrMemberMsg_Spec;
 
+/* A quarantined request, spread with probes. */
+typedef struct {
+    /* 16 hexadecimal digits */
+    LrStr fingerprint;
+    /* time left, milliseconds */
+    int64_t left_ms;
+} LrCondemnedMsg;
+extern const LrObjectSpec LrCondemnedMsg_Spec;
+
 /* Probe or its acknowledgement, with member and catalogue news. */
 typedef struct {
     /* matches an acknowledgement to its probe */
@@ -281,19 +290,50 @@
     /* member states to spread */
     LrMemberMsg *news;
     size_t n_news;
+    /* digest of the catalogue in force at the sender */
+    LrStr digest;
+    /* quarantined requests to spread */
+    LrCondemnedMsg *condemned;
+    size_t n_condemned;
 } LrProbeMsg;
 extern const LrObjectSpec LrProbeMsg_Spec;
 #define LR_MSG_PROBE 2
 
-/* Request for a catalogue, or the catalogue itself. */
+/* One value of the catalogue. */
+typedef struct {
+    /* service/NAME or entry/NAME */
+    LrStr name;
+    /* revision that changed it last */
+    int64_t revision;
+    /* JSON text; empty when the value was removed */
+    LrStr text;
+} LrValueMsg;
+extern const LrObjectSpec LrValueMsg_Spec;
+
+/* Request for what changed since a revision. */
+typedef struct {
+    /* revision in force at the sender; 0 for none */
+    int64_t revision;
+    /* peer IP:port of the sender */
+    LrStr reply_to;
+} LrAskMsg;
+extern const LrObjectSpec LrAskMsg_Spec;
+#define LR_MSG_ASK 3
+
+/* What changed in the catalogue since a revision. */
 typedef struct {
-    /* revision held by the sender */
+    /* revision that the receiver has; 0 for none */
+    int64_t since;
+    /* revision that results */
     int64_t revision;
-    /* catalogue JSON; empty asks for a newer one */
-    LrStr document;
-} LrCatalogueMsg;
-extern const LrObjectSpec LrCatalogueMsg_Spec;
-#define LR_MSG_CATALOGUE 3
+    /* digest of the result */
+    LrStr digest;
+    /* changed and removed values */
+    LrValueMsg *values;
+    size_t n_values;
+} LrDeltaMsg;
+extern const LrObjectSpec LrDeltaMsg_Spec;
+#define LR_MSG_DELTA 6
 
 /* Keyed request forwarded to its coordinator. */
 typedef struct {
@@ -307,6 +347,8 @@
     int64_t deadline_ms;
     /* request body */
     LrStr body;
+    /* peer IP:port of the sender */
+    LrStr reply_to;
 } LrCallMsg;
 extern const LrObjectSpec LrCallMsg_Spec;
 #define LR_MSG_CALL 4
@@ -355,6 +397,9 @@
     LR_COUNT_PEER_MESSAGES,
     LR_COUNT_PEER_BYTES,
     LR_COUNT_PEER_ERRORS,
+    LR_COUNT_MEMBERS_SUSPECTED,
+    LR_COUNT_MEMBERS_REFUTED,
+    LR_COUNT_CATALOGUE_DELTAS,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/keyed.c
+++ b/liblavenderrail/keyed.c
@@ -27,25 +27,69 @@
 }
 
 static void
-reply_row(LrExchange *exchange, const LrLedgerRow *row)
+reply_peer(LrDaemon *daemon, const char *address, int64_t id,
+           LrOutcome outcome, unsigned status, GBytes *body)
 {
-    LrExchange_Reply(exchange, (unsigned)row->status, JSON_TYPE,
-                     g_bytes_ref(row->answer));
+    LrCallAnswerMsg answer = {
+        .id = id,
+        .outcome = outcome,
+        .status = status,
+        .body = LrStr_FromBytes(body),
+    };
+    LrPeers_Send(daemon->peers, LrStr_FromC(address), &LrCallAnswerMsg_Spec,
+                 &answer);
+}
+
+/* Gives a result to whoever asked: a caller here, or a peer. */
+static void
+give(LrPending *pending, LrOutcome outcome, unsigned status, GBytes *body)
+{
+    if (pending->exchange) {
+        LrExchange_SetData(pending->exchange, NULL);
+        LrExchange_Reply(pending->exchange, status, JSON_TYPE,
+                         g_bytes_ref(body));
+    }
+    else if (pending->reply_to) {
+        reply_peer(pending->daemon, pending->reply_to, pending->remote_id,
+                   outcome, status, body);
+    }
+}
+
+static void
+free_pending(LrPending *pending)
+{
+    g_free(pending->reply_to);
+    g_free(pending->coordinator);
+    g_free(pending);
 }
 
-/* Answers every caller that waits for the row. */
+static void
+give_refusal(LrPending *pending, LrOutcome outcome, LrReason reason,
+             const char *hint)
+{
+    GBytes *body = LrAnswer_RefusalJson(outcome, reason, hint);
+    give(pending, outcome, LrAnswer_RefusalStatus(outcome, reason), body);
+    g_bytes_unref(body);
+    free_pending(pending);
+}
+
+static void
+give_row(LrPending *pending, const LrLedgerRow *row)
+{
+    give(pending, row->outcome, (unsigned)row->status, row->answer);
+    free_pending(pending);
+}
+
+/* Answers everyone who waits for the row. */
 static void
 tell_waiters(LrLedgerRow *row)
 {
-    for (guint i = 0; i < row->waiters->len; i++) {
-        LrPending *waiter = row->waiters->pdata[i];
-        if (waiter->exchange) {
-            LrExchange_SetData(waiter->exchange, NULL);
-            reply_row(waiter->exchange, row);
-        }
-        g_free(waiter);
+    GPtrArray *waiters = row->waiters;
+    row->waiters = g_ptr_array_new();
+    for (guint i = 0; i < waiters->len; i++) {
+        give_row(waiters->pdata[i], row);
     }
-    g_ptr_array_set_size(row->waiters, 0);
+    g_ptr_array_unref(waiters);
 }
 
 void
@@ -57,31 +101,22 @@
                     (int)LrAnswer_Status(answer), text);
     g_bytes_unref(text);
     tell_waiters(pending->row);
-    g_free(pending);
-}
-
-static void
-add_waiter(LrDaemon *daemon, LrExchange *exchange, LrLedgerRow *row)
-{
-    LrPending *waiter = g_new0(LrPending, 1);
-    waiter->daemon = daemon;
-    waiter->exchange = exchange;
-    waiter->row = row;
-    LrExchange_SetData(exchange, waiter);
-    g_ptr_array_add(row->waiters, waiter);
+    free_pending(pending);
 }
 
+/* The caller went away. What it asked for goes on, for its resend. */
 void
 LrKeyed_Gone(LrDaemon *daemon, LrExchange *exchange)
 {
     (void)daemon;
-    LrPending *waiter = LrExchange_Data(exchange);
-    waiter->exchange = NULL;
+    LrPending *pending = LrExchange_Data(exchange);
+    pending->exchange = NULL;
 }
 
-/* Runs the request; its answer goes to the row, not to this caller. */
+/* Runs the request; its answer goes to the row, not to one caller. */
 static void
-run(LrDaemon *daemon, LrStr entry, LrStr key, GBytes *body, LrLedgerRow *row)
+run(LrDaemon *daemon, LrStr entry, LrStr key, GBytes *body, LrTime timeout,
+    LrLedgerRow *row)
 {
     LrPending *pending = g_new0(LrPending, 1);
     pending->daemon = daemon;
@@ -92,73 +127,213 @@
         .call = true,
         .routing_key = key,
         .key = key,
+        .timeout = timeout,
         .data = pending,
     };
     pending->query = LrEngine_Submit(daemon->engine, LrLoop_Now(), &request);
 }
 
+/* Claims the key in this daemon's ledger on behalf of whoever asked. */
 static void
-claim(LrDaemon *daemon, LrExchange *exchange, LrStr entry, LrStr text,
-      const LrKey *key)
+claim(LrPending *pending, LrStr entry, LrStr text, const LrKey *key,
+      GBytes *body, LrTime timeout)
 {
+    LrDaemon *daemon = pending->daemon;
     LrTime left = (key->expires_ms - LrLoop_WallMs()) * LR_MILLISECOND;
     LrTime now = LrLoop_Now();
-    GBytes *body = LrExchange_Body(exchange);
     uint64_t fingerprint =
         LrQuarantine_Fingerprint(entry, LrStr_FromBytes(body));
     LrLedgerRow *row;
     switch (LrLedger_Claim(daemon->ledger, text, fingerprint, now,
                            now + left + EXPIRY_GRACE, &row)) {
     case LR_CLAIM_RUN:
-        add_waiter(daemon, exchange, row);
-        run(daemon, entry, text, body, row);
-        LrDaemon_Settle(daemon);
+        pending->row = row;
+        g_ptr_array_add(row->waiters, pending);
+        run(daemon, entry, text, body, timeout, row);
         break;
     case LR_CLAIM_WAIT:
-        add_waiter(daemon, exchange, row);
+        pending->row = row;
+        g_ptr_array_add(row->waiters, pending);
         break;
     case LR_CLAIM_REPLAY:
         LrCounters_Add(daemon->counters, LR_COUNT_KEYS_REPLAYED, 1);
-        reply_row(exchange, row);
+        give_row(pending, row);
         break;
     case LR_CLAIM_CONFLICT:
-        LrApi_Refuse(exchange, LR_OUTCOME_NOT_RUN, LR_REASON_KEY_CONFLICT,
+        give_refusal(pending, LR_OUTCOME_NOT_RUN, LR_REASON_KEY_CONFLICT,
                      "the key was used with another request");
         break;
     case LR_CLAIM_FULL:
-        LrApi_Refuse(exchange, LR_OUTCOME_NOT_RUN, LR_REASON_LEDGER_FULL,
+        give_refusal(pending, LR_OUTCOME_NOT_RUN, LR_REASON_LEDGER_FULL,
                      "try again later");
         break;
     }
 }
 
+static void
+lose_coordinator(LrPending *pending)
+{
+    LrDaemon *daemon = pending->daemon;
+    ev_timer_stop(daemon->loop, &pending->timer);
+    g_hash_table_remove(daemon->forwarded, &pending->id);
+    give_refusal(pending, LR_OUTCOME_UNKNOWN, LR_REASON_COORDINATOR_LOST,
+                 "the host that issued the key cannot be reached");
+}
+
+static void
+on_forward_timeout(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    lose_coordinator(timer->data);
+}
+
+static LrTime
+entry_deadline(const LrDaemon *daemon, LrStr name)
+{
+    LrView *view = LrEngine_View(daemon->engine);
+    const LrEntry *entry = view ? LrView_LookupEntry(view, name) : NULL;
+    return entry ? entry->spec->deadline_ms * LR_MILLISECOND : LR_SECOND;
+}
+
+static bool
+is_coordinator(const LrMember *member, const LrKey *key)
+{
+    return member && member->incarnation == key->incarnation &&
+           member->state != LR_MEMBER_DEAD;
+}
+
+static void
+forward(LrPending *pending, LrStr entry, LrStr text, const LrKey *key,
+        GBytes *body)
+{
+    LrDaemon *daemon = pending->daemon;
+    const LrMember *member = LrMembers_Lookup(daemon->members, key->host);
+    LrTime deadline = entry_deadline(daemon, entry);
+    LrCallMsg message = {
+        .id = ++daemon->next_forward,
+        .entry = entry,
+        .key = text,
+        .deadline_ms = deadline / LR_MILLISECOND,
+        .body = LrStr_FromBytes(body),
+        .reply_to = daemon->settings.peer_listen,
+    };
+    pending->forwarded = true;
+    pending->id = message.id;
+    pending->coordinator = member ? LrStr_Dup(member->address) : NULL;
+    ev_timer_init(&pending->timer, on_forward_timeout,
+                  (double)deadline / (double)LR_SECOND, 0);
+    pending->timer.data = pending;
+    g_hash_table_insert(daemon->forwarded, &pending->id, pending);
+    if (!is_coordinator(member, key) ||
+        !LrPeers_Send(daemon->peers, member->address, &LrCallMsg_Spec,
+                      &message)) {
+        lose_coordinator(pending);
+        return;
+    }
+    LrCounters_Add(daemon->counters, LR_COUNT_KEYS_FORWARDED, 1);
+    ev_timer_start(daemon->loop, &pending->timer);
+}
+
 void
-LrKeyed_Request(LrDaemon *daemon, LrExchange *exchange, LrStr entry)
+LrKeyed_OnAnswer(LrDaemon *daemon, const LrCallAnswerMsg *message)
+{
+    LrPending *pending = g_hash_table_lookup(daemon->forwarded, &message->id);
+    if (!pending) {
+        return;
+    }
+    ev_timer_stop(daemon->loop, &pending->timer);
+    g_hash_table_remove(daemon->forwarded, &pending->id);
+    GBytes *body = g_bytes_new(message->body.ptr, message->body.len);
+    give(pending, message->outcome, (unsigned)message->status, body);
+    g_bytes_unref(body);
+    free_pending(pending);
+}
+
+void
+LrKeyed_LinkLost(LrDaemon *daemon, LrStr address)
+{
+    GList *rows = g_hash_table_get_values(daemon->forwarded);
+    for (GList *at = rows; at; at = at->next) {
+        LrPending *pending = at->data;
+        if (pending->coordinator &&
+            LrStr_EqualC(address, pending->coordinator)) {
+            lose_coordinator(pending);
+        }
+    }
+    g_list_free(rows);
+}
+
+static bool
+is_own(const LrDaemon *daemon, const LrKey *key)
+{
+    return LrStr_Equal(key->host, daemon->settings.name) &&
+           key->incarnation == daemon->incarnation;
+}
+
+/* Judges the key of a request that came from a caller or from a peer. */
+static bool
+judge_key(LrPending *pending, LrStr text, LrKey *key)
 {
-    LrStr text = LrExchange_Header(exchange, "Idempotency-Key");
-    LrKey key;
     if (text.len == 0) {
-        LrApi_Refuse(exchange, LR_OUTCOME_NOT_RUN, LR_REASON_KEY_REQUIRED,
+        give_refusal(pending, LR_OUTCOME_NOT_RUN, LR_REASON_KEY_REQUIRED,
                      "take a key from POST /v1/keys and send it as "
                      "Idempotency-Key");
-        return;
+        return false;
     }
-    if (!LrKey_Parse(text, &key)) {
-        LrApi_Refuse(exchange, LR_OUTCOME_NOT_RUN, LR_REASON_KEY_INVALID,
+    if (!LrKey_Parse(text, key)) {
+        give_refusal(pending, LR_OUTCOME_NOT_RUN, LR_REASON_KEY_INVALID,
                      "take a key from POST /v1/keys");
+        return false;
+    }
+    if (key->expires_ms <= LrLoop_WallMs()) {
+        give_refusal(pending, LR_OUTCOME_UNKNOWN, LR_REASON_KEY_EXPIRED,
+                     "the key has expired");
+        return false;
+    }
+    return true;
+}
+
+void
+LrKeyed_Request(LrDaemon *daemon, LrExchange *exchange, LrStr entry)
+{
+    LrStr text = LrExchange_Header(exchange, "Idempotency-Key");
+    GBytes *body = LrExchange_Body(exchange);
+    LrPending *pending = g_new0(LrPending, 1);
+    LrKey key;
+    pending->daemon = daemon;
+    pending->exchange = exchange;
+    LrExchange_SetData(exchange, pending);
+    if (!judge_key(pending, text, &key)) {
         return;
     }
-    bool own = LrStr_Equal(key.host, daemon->settings.name) &&
-               key.incarnation == daemon->incarnation;
-    if (!own) {
-        LrApi_Refuse(exchange, LR_OUTCOME_UNKNOWN, LR_REASON_COORDINATOR_LOST,
-                     "the host that issued the key cannot be reached");
+    if (is_own(daemon, &key)) {
+        claim(pending, entry, text, &key, body, 0);
+    }
+    else {
+        forward(pending, entry, text, &key, body);
+    }
+    LrDaemon_Settle(daemon);
+}
+
+void
+LrKeyed_OnCall(LrDaemon *daemon, const LrCallMsg *message)
+{
+    LrPending *pending = g_new0(LrPending, 1);
+    LrKey key;
+    pending->daemon = daemon;
+    pending->reply_to = LrStr_Dup(message->reply_to);
+    pending->remote_id = message->id;
+    if (!judge_key(pending, message->key, &key)) {
         return;
     }
-    if (key.expires_ms <= LrLoop_WallMs()) {
-        LrApi_Refuse(exchange, LR_OUTCOME_UNKNOWN, LR_REASON_KEY_EXPIRED,
-                     "the key has expired");
+    if (!is_own(daemon, &key)) {
+        give_refusal(pending, LR_OUTCOME_UNKNOWN, LR_REASON_COORDINATOR_LOST,
+                     "the host that issued the key was replaced");
         return;
     }
-    claim(daemon, exchange, entry, text, &key);
+    GBytes *body = g_bytes_new(message->body.ptr, message->body.len);
+    claim(pending, message->entry, message->key, &key, body,
+          message->deadline_ms * LR_MILLISECOND);
+    g_bytes_unref(body);
 }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -240,6 +240,33 @@
 /* What an edit changes, one line a change, to be freed with g_free. */
 char *LrCatalogue_Diff(const LrCatalogue *from, const LrCatalogue *to);
 
+/* store.c: the named values that make up a catalogue. */
+typedef struct LrStore LrStore;
+
+LrStore *LrStore_New(void);
+void LrStore_Free(LrStore *store);
+/* A copy that shares the values. */
+LrStore *LrStore_Fork(const LrStore *store);
+int64_t LrStore_Revision(const LrStore *store);
+void LrStore_SetRevision(LrStore *store, int64_t revision);
+/* name: service/NAME or entry/NAME; text: JSON of the value. */
+void LrStore_Set(LrStore *store, const char *name, int64_t revision,
+                 LrStr text);
+void LrStore_Remove(LrStore *store, const char *name, int64_t revision);
+bool LrStore_Has(const LrStore *store, const char *name, int64_t revision);
+/* Names in order, borrowed from the store. */
+GPtrArray *LrStore_Names(const LrStore *store);
+/* JSON text of the whole catalogue, to be freed with g_free. */
+char *LrStore_Assemble(const LrStore *store);
+/* Depends on every name, revision and text. */
+uint64_t LrStore_Digest(const LrStore *store);
+/* What changed after a revision; everything when that is not known. Texts
+ * borrow from the store. */
+void LrStore_Delta(const LrStore *store, int64_t since, LrArena *arena,
+                   LrDeltaMsg *delta);
+/* A new store with the delta applied; NULL when it does not fit. */
+LrStore *LrStore_Apply(const LrStore *store, const LrDeltaMsg *delta);
+
 /* hostlist.c: the platform's list of hosts. */
 typedef struct {
     LrHostListSpec spec;
@@ -519,6 +546,22 @@
 LrMap *LrView_PickMap(const LrService *service, LrSnapshotPolicy policy,
                       int64_t skip, LrTime now);
 
+/* share.c: one daemon's part of a limit that holds over the fleet. */
+typedef struct {
+    unsigned rank;
+    unsigned count;
+    unsigned wanted_rank;
+    unsigned wanted_count;
+    LrTime wanted_at;
+} LrShare;
+
+void LrShare_Init(LrShare *share);
+/* Takes a smaller part at once, a larger one after every other daemon must
+ * have seen the same fleet. */
+void LrShare_Set(LrShare *share, LrTime now, unsigned rank, unsigned count);
+/* Part of a whole limit; the parts of all ranks add up to the limit. */
+int64_t LrShare_Of(const LrShare *share, int64_t limit);
+
 /* quarantine.c: requests that crash targets. */
 typedef struct LrQuarantine LrQuarantine;
 
@@ -597,6 +640,60 @@
 /* Members of the result borrow from text. */
 bool LrKey_Parse(LrStr text, LrKey *key);
 
+/* member.c: the daemons of the fleet and what is believed of each. */
+typedef struct LrMembers LrMembers;
+
+typedef struct {
+    LrStr name;
+    LrStr zone;
+    LrStr address;
+    int64_t incarnation;
+    int64_t serial;
+    LrMemberState state;
+    LrTime since;
+    bool listed;
+    bool host_leaving;
+    bool in_message;
+    unsigned news_left;
+} LrMember;
+
+typedef struct {
+    LrStr name;
+    LrStr zone;
+    /* Peer IP:port of this daemon. */
+    LrStr address;
+    int64_t incarnation;
+    LrTime interval;
+    LrRandom *random;
+    LrLog *log;
+    LrCounters *counters;
+    /* Sends a message to a peer; it may get lost. */
+    void (*send)(void *data, LrStr address, const LrProbeMsg *message);
+    void *data;
+} LrMembersConfig;
+
+LrMembers *LrMembers_New(const LrMembersConfig *config, LrTime now);
+void LrMembers_Free(LrMembers *members);
+void LrMembers_OnHosts(LrMembers *members, const LrHostList *list, LrTime now);
+void LrMembers_OnProbe(LrMembers *members, const LrProbeMsg *message,
+                       LrTime now);
+/* To be called once an interval: sends one probe. */
+void LrMembers_Tick(LrMembers *members, LrTime now);
+/* This daemon is stopping. */
+void LrMembers_Leave(LrMembers *members, LrTime now);
+/* What probes say of the catalogue in force here. */
+void LrMembers_SetCatalogue(LrMembers *members, int64_t revision,
+                            uint64_t digest);
+LrMember *LrMembers_Lookup(LrMembers *members, LrStr name);
+size_t LrMembers_Count(const LrMembers *members);
+LrMember *LrMembers_Get(const LrMembers *members, size_t index);
+/* How long a suspect has to refute. */
+LrTime LrMembers_SuspectTime(const LrMembers *members);
+/* Rank of this daemon among the usable ones of its zone, from 0. */
+unsigned LrMembers_ZoneRank(const LrMembers *members);
+/* Rank of this daemon among all that may be running, and their number. */
+unsigned LrMembers_ListRank(const LrMembers *members, unsigned *count);
+
 /* engine.c: the queries of one daemon. Events go in, actions come out. */
 typedef struct LrEngine LrEngine;
 
@@ -697,6 +794,10 @@
 LrTime LrEngine_NextTimer(const LrEngine *engine);
 bool LrEngine_NextAction(LrEngine *engine, LrAction *action);
 size_t LrEngine_Running(const LrEngine *engine);
+/* This daemon's part of the limits that hold over the fleet: its rank among
+ * the daemons and their number. A larger part is taken up late. */
+void LrEngine_SetShare(LrEngine *engine, LrTime now, unsigned rank,
+                       unsigned count);
 /* Refuses new requests with reason stopping. */
 void LrEngine_Stop(LrEngine *engine);
 void LrAnswer_Free(LrAnswer *answer);
@@ -818,6 +919,31 @@
                              const char *hint);
 unsigned LrAnswer_RefusalStatus(LrOutcome outcome, LrReason reason);
 
+/* peer.c: links between daemons. */
+typedef struct LrPeers LrPeers;
+
+typedef struct {
+    struct ev_loop *loop;
+    LrStr listen;
+    LrStr name;
+    int64_t incarnation;
+    LrLog *log;
+    LrCounters *counters;
+    /* A frame came; false closes the link. */
+    bool (*message)(void *data, LrStr frame);
+    /* The link to an address was lost, with what was not sent yet. */
+    void (*lost)(void *data, LrStr address);
+    void *data;
+} LrPeersConfig;
+
+LrPeers *LrPeers_New(const LrPeersConfig *config, GError **error);
+void LrPeers_Free(LrPeers *peers);
+/* Sends a message, opening a link when there is none; false when it cannot
+ * be sent. */
+bool LrPeers_Send(LrPeers *peers, LrStr address, const LrObjectSpec *spec,
+                  const void *message);
+size_t LrPeers_Count(const LrPeers *peers);
+
 /* watch.c: reader of the configuration service and the host list. */
 typedef struct LrWatch LrWatch;
 
@@ -839,10 +965,14 @@
 
 LrWatch *LrWatch_New(const LrWatchConfig *config);
 void LrWatch_Free(LrWatch *watch);
-/* Offers a whole catalogue, as a peer sends it; false when it is refused
- * or not newer than the one in force. */
-bool LrWatch_Offer(LrWatch *watch, LrStr text, const char *source);
-LrCatalogue *LrWatch_Catalogue(LrWatch *watch);
+/* Offers a catalogue's values, which the watch takes over; false when they
+ * are refused or not newer than those in force. */
+bool LrWatch_Offer(LrWatch *watch, LrStore *store, const char *source);
+/* Values in force; revision 0 while there are none. */
+const LrStore *LrWatch_Store(const LrWatch *watch);
+int64_t LrWatch_RefusedRevision(const LrWatch *watch);
+/* Whether to read the configuration service. */
+void LrWatch_SetReading(LrWatch *watch, bool reading);
 /* Members for the state dump. */
 struct json_t *LrWatch_Dump(const LrWatch *watch);
 
--- /dev/null
+++ b/liblavenderrail/member.c
@@ -0,0 +1,602 @@
+/* Membership: probing, suspicion with refutation, and spread of news, after
+ * SWIM (Das, Gupta, Motivala, 2002). Each interval a daemon probes one
+ * member, whatever the fleet's size; news ride on probes and their
+ * acknowledgements. The host list seeds the members and takes them away. */
+#include "lavenderrail.h"
+
+#include <math.h>
+#include <string.h>
+
+enum {
+    MAX_NEWS = 6,
+    HELPERS = 3,
+    MAX_RELAYS = 64,
+    SPREAD_FACTOR = 3,
+    SUSPECT_FACTOR = 4,
+    LOST_EVERY = 5,
+    GAP_INTERVALS = 3,
+};
+
+typedef struct {
+    int64_t sequence;
+    char *reply_to;
+    int64_t original;
+} Relay;
+
+struct LrMembers {
+    LrMembersConfig config;
+    GPtrArray *rows;
+    GHashTable *by_name;
+    LrMember *self;
+    GPtrArray *order;
+    int64_t sequence;
+    LrMember *probed;
+    int64_t probe_sequence;
+    LrTime probed_at;
+    bool helped;
+    Relay relays[MAX_RELAYS];
+    unsigned next_relay;
+    LrTime ticked_at;
+    uint64_t n_ticks;
+    int64_t revision;
+    char *digest;
+};
+
+static void
+free_member(gpointer data)
+{
+    LrMember *member = data;
+    g_free((char *)member->name.ptr);
+    g_free((char *)member->zone.ptr);
+    g_free((char *)member->address.ptr);
+    g_free(member);
+}
+
+static void
+set_str(LrStr *at, LrStr value)
+{
+    if (at->ptr && LrStr_Equal(*at, value)) {
+        return;
+    }
+    g_free((char *)at->ptr);
+    *at = (LrStr){.ptr = LrStr_Dup(value), .len = value.len};
+}
+
+static LrMember *
+add_member(LrMembers *members, LrStr name, LrStr zone, LrStr address,
+           LrTime now)
+{
+    LrMember *member = g_new0(LrMember, 1);
+    set_str(&member->name, name);
+    set_str(&member->zone, zone);
+    set_str(&member->address, address);
+    member->since = now;
+    g_ptr_array_add(members->rows, member);
+    g_hash_table_insert(members->by_name, &member->name, member);
+    return member;
+}
+
+LrMembers *
+LrMembers_New(const LrMembersConfig *config, LrTime now)
+{
+    LrMembers *members = g_new0(LrMembers, 1);
+    members->config = *config;
+    members->rows = g_ptr_array_new_with_free_func(free_member);
+    members->by_name = g_hash_table_new(LrStr_TableHash, LrStr_TableEqual);
+    members->order = g_ptr_array_new();
+    members->digest = g_strdup("");
+    members->self =
+        add_member(members, config->name, config->zone, config->address, now);
+    members->self->incarnation = config->incarnation;
+    members->self->listed = true;
+    members->ticked_at = now;
+    return members;
+}
+
+void
+LrMembers_Free(LrMembers *members)
+{
+    if (!members) {
+        return;
+    }
+    for (size_t i = 0; i < MAX_RELAYS; i++) {
+        g_free(members->relays[i].reply_to);
+    }
+    g_hash_table_unref(members->by_name);
+    g_ptr_array_unref(members->order);
+    g_ptr_array_unref(members->rows);
+    g_free(members->digest);
+    g_free(members);
+}
+
+static unsigned
+spread_times(const LrMembers *members)
+{
+    double n = members->rows->len + 1.0;
+    return (unsigned)ceil(SPREAD_FACTOR * log2(n)) + 1;
+}
+
+static void
+change_state(LrMembers *members, LrMember *member, LrMemberState state,
+             LrTime now)
+{
+    member->news_left = spread_times(members);
+    if (member->state == state) {
+        return;
+    }
+    member->state = state;
+    member->since = now;
+    LR_LOG(members->config.log, LOG_NOTICE, "member_state",
+           LrLog_Str("member", member->name),
+           LrLog_C("state", LrMemberState_Names[state]));
+}
+
+static int
+compare_claims(const LrMember *member, const LrMemberMsg *claim)
+{
+    static const int ranks[] = {
+        [LR_MEMBER_ALIVE] = 0,
+        [LR_MEMBER_LEAVING] = 1,
+        [LR_MEMBER_SUSPECT] = 2,
+        [LR_MEMBER_DEAD] = 3,
+    };
+    if (claim->incarnation != member->incarnation) {
+        return claim->incarnation > member->incarnation ? 1 : -1;
+    }
+    if (claim->serial != member->serial) {
+        return claim->serial > member->serial ? 1 : -1;
+    }
+    return ranks[claim->state] - ranks[member->state];
+}
+
+/* Others say something of this daemon that is not so. */
+static void
+refute(LrMembers *members, const LrMemberMsg *claim)
+{
+    LrMember *self = members->self;
+    if (claim->incarnation != self->incarnation ||
+        claim->serial < self->serial || claim->state == self->state) {
+        return;
+    }
+    self->serial = claim->serial + 1;
+    self->news_left = spread_times(members);
+    LrCounters_Add(members->config.counters, LR_COUNT_MEMBERS_REFUTED, 1);
+}
+
+static void
+take_claim(LrMembers *members, const LrMemberMsg *claim, LrTime now)
+{
+    if (LrStr_Equal(claim->name, members->self->name)) {
+        refute(members, claim);
+        return;
+    }
+    LrMember *member = LrMembers_Lookup(members, claim->name);
+    if (!member) {
+        if (claim->state == LR_MEMBER_DEAD) {
+            return;
+        }
+        member =
+            add_member(members, claim->name, claim->zone, claim->address, now);
+        member->incarnation = -1;
+    }
+    if (compare_claims(member, claim) <= 0) {
+        return;
+    }
+    member->incarnation = claim->incarnation;
+    member->serial = claim->serial;
+    set_str(&member->zone, claim->zone);
+    set_str(&member->address, claim->address);
+    change_state(members, member, claim->state, now);
+}
+
+void
+LrMembers_OnHosts(LrMembers *members, const LrHostList *list, LrTime now)
+{
+    for (guint i = 0; i < members->rows->len; i++) {
+        LrMember *member = members->rows->pdata[i];
+        member->listed = member == members->self;
+        member->host_leaving = false;
+    }
+    for (size_t i = 0; i < list->spec.n_hosts; i++) {
+        const LrHostSpec *host = &list->spec.hosts[i];
+        if (!LrStr_EqualC(host->role, "daemon")) {
+            continue;
+        }
+        LrMember *member = LrMembers_Lookup(members, host->name);
+        if (!member) {
+            member = add_member(members, host->name, host->zone, host->address,
+                                now);
+        }
+        member->listed = true;
+        member->host_leaving = host->state == LR_HOST_LEAVING;
+    }
+}
+
+static LrMemberMsg
+claim_of(const LrMember *member)
+{
+    return (LrMemberMsg){
+        .name = member->name,
+        .zone = member->zone,
+        .address = member->address,
+        .incarnation = MAX(0, member->incarnation),
+        .serial = member->serial,
+        .state = member->state,
+    };
+}
+
+/* This daemon's own state first, then the news that were sent least. */
+static size_t
+pick_news(LrMembers *members, LrMemberMsg news[MAX_NEWS])
+{
+    size_t n = 0;
+    news[n++] = claim_of(members->self);
+    while (n < MAX_NEWS) {
+        LrMember *best = NULL;
+        for (guint i = 0; i < members->rows->len; i++) {
+            LrMember *member = members->rows->pdata[i];
+            if (member != members->self && member->news_left > 0 &&
+                !member->in_message &&
+                (!best || member->news_left > best->news_left)) {
+                best = member;
+            }
+        }
+        if (!best) {
+            break;
+        }
+        best->news_left--;
+        best->in_message = true;
+        news[n++] = claim_of(best);
+    }
+    for (guint i = 0; i < members->rows->len; i++) {
+        ((LrMember *)members->rows->pdata[i])->in_message = false;
+    }
+    return n;
+}
+
+static void
+send_probe(LrMembers *members, LrStr address, int64_t sequence, bool ack,
+           LrStr about)
+{
+    LrMemberMsg news[MAX_NEWS];
+    LrProbeMsg message = {
+        .sequence = sequence,
+        .ack = ack,
+        .about = about,
+        .revision = members->revision,
+        .digest = LrStr_FromC(members->digest),
+        .news = news,
+        .n_news = pick_news(members, news),
+    };
+    members->config.send(members->config.data, address, &message);
+}
+
+static bool
+is_reachable(const LrMembers *members, const LrMember *member)
+{
+    return member != members->self && member->state != LR_MEMBER_DEAD;
+}
+
+static LrMember *
+random_member(LrMembers *members, const LrMember *except)
+{
+    guint n = members->rows->len;
+    guint start = LrRandom_Below(members->config.random, n);
+    for (guint i = 0; i < n; i++) {
+        LrMember *member = members->rows->pdata[(start + i) % n];
+        if (member != except && is_reachable(members, member)) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+static void
+shuffle_order(LrMembers *members)
+{
+    g_ptr_array_set_size(members->order, 0);
+    for (guint i = 0; i < members->rows->len; i++) {
+        LrMember *member = members->rows->pdata[i];
+        if (is_reachable(members, member)) {
+            guint at = LrRandom_Below(members->config.random,
+                                      members->order->len + 1);
+            g_ptr_array_insert(members->order, (gint)at, member);
+        }
+    }
+}
+
+static LrMember *
+lost_member(LrMembers *members)
+{
+    guint n = members->rows->len;
+    guint start = LrRandom_Below(members->config.random, n);
+    for (guint i = 0; i < n; i++) {
+        LrMember *member = members->rows->pdata[(start + i) % n];
+        if (member->state == LR_MEMBER_DEAD && member->listed) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+/* Next member in a random order that is renewed after each round. Now and
+ * then a lost one is tried, so that a healed partition is noticed. */
+static LrMember *
+next_probed(LrMembers *members)
+{
+    LrMember *lost =
+        members->n_ticks % LOST_EVERY == 0 ? lost_member(members) : NULL;
+    if (lost) {
+        return lost;
+    }
+    if (members->order->len == 0) {
+        shuffle_order(members);
+    }
+    if (members->order->len == 0) {
+        return NULL;
+    }
+    return g_ptr_array_remove_index(members->order, members->order->len - 1);
+}
+
+static void
+probe_next(LrMembers *members, LrTime now)
+{
+    LrMember *member = next_probed(members);
+    if (!member) {
+        return;
+    }
+    members->probed = member;
+    members->probe_sequence = ++members->sequence;
+    members->probed_at = now;
+    members->helped = false;
+    send_probe(members, member->address, members->probe_sequence, false,
+               LrStr_FromC(""));
+}
+
+static void
+ask_helpers(LrMembers *members)
+{
+    members->helped = true;
+    for (int i = 0; i < HELPERS; i++) {
+        LrMember *helper = random_member(members, members->probed);
+        if (helper) {
+            send_probe(members, helper->address, members->probe_sequence,
+                       false, members->probed->name);
+        }
+    }
+}
+
+/* Deals with a probe that is still unanswered. */
+static void
+chase_probe(LrMembers *members, LrTime now)
+{
+    LrMember *member = members->probed;
+    if (!member) {
+        return;
+    }
+    if (!members->helped && member->state != LR_MEMBER_DEAD) {
+        ask_helpers(members);
+        return;
+    }
+    members->probed = NULL;
+    if (member->state == LR_MEMBER_ALIVE ||
+        member->state == LR_MEMBER_LEAVING) {
+        LrCounters_Add(members->config.counters, LR_COUNT_MEMBERS_SUSPECTED,
+                       1);
+        change_state(members, member, LR_MEMBER_SUSPECT, now);
+    }
+}
+
+static void
+drop_member(LrMembers *members, LrMember *member)
+{
+    g_ptr_array_remove(members->order, member);
+    g_hash_table_remove(members->by_name, &member->name);
+    if (members->probed == member) {
+        members->probed = NULL;
+    }
+    g_ptr_array_remove(members->rows, member);
+}
+
+LrTime
+LrMembers_SuspectTime(const LrMembers *members)
+{
+    double n = members->rows->len + 1.0;
+    return (LrTime)((double)members->config.interval * SUSPECT_FACTOR *
+                    MAX(1, log2(n)));
+}
+
+static void
+age_members(LrMembers *members, LrTime now)
+{
+    LrTime limit = LrMembers_SuspectTime(members);
+    for (guint i = members->rows->len; i > 0; i--) {
+        LrMember *member = members->rows->pdata[i - 1];
+        if (now - member->since < limit || member == members->self) {
+            continue;
+        }
+        if (member->state == LR_MEMBER_SUSPECT) {
+            change_state(members, member, LR_MEMBER_DEAD, now);
+        }
+        else if (member->state == LR_MEMBER_DEAD && !member->listed) {
+            drop_member(members, member);
+        }
+    }
+}
+
+/* The process slept: what it waited for says nothing of the others. */
+static void
+forgive(LrMembers *members, LrTime now)
+{
+    members->probed = NULL;
+    for (guint i = 0; i < members->rows->len; i++) {
+        LrMember *member = members->rows->pdata[i];
+        if (member->state == LR_MEMBER_SUSPECT) {
+            member->since = now;
+        }
+    }
+}
+
+void
+LrMembers_Tick(LrMembers *members, LrTime now)
+{
+    LrTime gap = now - members->ticked_at;
+    if (gap > GAP_INTERVALS * members->config.interval) {
+        forgive(members, now);
+    }
+    members->ticked_at = now;
+    members->n_ticks++;
+    chase_probe(members, now);
+    age_members(members, now);
+    if (!members->probed) {
+        probe_next(members, now);
+    }
+}
+
+static void
+relay_probe(LrMembers *members, const LrMember *member,
+            const LrProbeMsg *message, LrStr reply_to)
+{
+    Relay *relay = &members->relays[members->next_relay++ % MAX_RELAYS];
+    g_free(relay->reply_to);
+    relay->reply_to = LrStr_Dup(reply_to);
+    relay->original = message->sequence;
+    relay->sequence = ++members->sequence;
+    send_probe(members, member->address, relay->sequence, false,
+               LrStr_FromC(""));
+}
+
+static void
+on_ack(LrMembers *members, const LrProbeMsg *message, LrStr name)
+{
+    if (members->probed && message->sequence == members->probe_sequence &&
+        (LrStr_Equal(members->probed->name, name) ||
+         LrStr_Equal(members->probed->name, message->about))) {
+        members->probed = NULL;
+        return;
+    }
+    for (size_t i = 0; i < MAX_RELAYS; i++) {
+        Relay *relay = &members->relays[i];
+        if (relay->reply_to && relay->sequence == message->sequence) {
+            send_probe(members, LrStr_FromC(relay->reply_to), relay->original,
+                       true, name);
+            g_clear_pointer(&relay->reply_to, g_free);
+            return;
+        }
+    }
+}
+
+/* A message came from a member that is taken for lost: tells it so, that it
+ * may refute. */
+static void
+note_alive(LrMembers *members, const LrMemberMsg *claim)
+{
+    LrMember *member = LrMembers_Lookup(members, claim->name);
+    if (!member) {
+        return;
+    }
+    bool returned =
+        member->state == LR_MEMBER_DEAD || member->state == LR_MEMBER_SUSPECT;
+    if (returned && claim->incarnation == member->incarnation) {
+        member->news_left = spread_times(members);
+    }
+}
+
+void
+LrMembers_OnProbe(LrMembers *members, const LrProbeMsg *message, LrTime now)
+{
+    if (message->n_news == 0 ||
+        LrStr_Equal(message->news[0].name, members->self->name)) {
+        return;
+    }
+    const LrMemberMsg *sender = &message->news[0];
+    for (size_t i = 0; i < message->n_news; i++) {
+        take_claim(members, &message->news[i], now);
+    }
+    note_alive(members, sender);
+    if (message->ack) {
+        on_ack(members, message, sender->name);
+        return;
+    }
+    LrMember *about = message->about.len > 0
+                          ? LrMembers_Lookup(members, message->about)
+                          : NULL;
+    if (about && about != members->self) {
+        relay_probe(members, about, message, sender->address);
+        return;
+    }
+    send_probe(members, sender->address, message->sequence, true,
+               LrStr_FromC(""));
+}
+
+void
+LrMembers_Leave(LrMembers *members, LrTime now)
+{
+    members->self->serial++;
+    change_state(members, members->self, LR_MEMBER_LEAVING, now);
+}
+
+void
+LrMembers_SetCatalogue(LrMembers *members, int64_t revision, uint64_t digest)
+{
+    members->revision = revision;
+    g_free(members->digest);
+    members->digest = g_strdup_printf("%016" G_GINT64_MODIFIER "x", digest);
+}
+
+LrMember *
+LrMembers_Lookup(LrMembers *members, LrStr name)
+{
+    return g_hash_table_lookup(members->by_name, &name);
+}
+
+size_t
+LrMembers_Count(const LrMembers *members)
+{
+    return members->rows->len;
+}
+
+LrMember *
+LrMembers_Get(const LrMembers *members, size_t index)
+{
+    return members->rows->pdata[index];
+}
+
+static uint64_t
+reader_weight(const LrMember *member)
+{
+    return LrStr_Hash(member->name, LrStr_Hash(member->zone, 0));
+}
+
+unsigned
+LrMembers_ZoneRank(const LrMembers *members)
+{
+    const LrMember *self = members->self;
+    unsigned rank = 0;
+    for (guint i = 0; i < members->rows->len; i++) {
+        const LrMember *member = members->rows->pdata[i];
+        if (is_reachable(members, member) &&
+            member->state != LR_MEMBER_LEAVING &&
+            LrStr_Equal(member->zone, self->zone) &&
+            reader_weight(member) > reader_weight(self)) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+unsigned
+LrMembers_ListRank(const LrMembers *members, unsigned *count)
+{
+    unsigned rank = 0;
+    *count = 0;
+    for (guint i = 0; i < members->rows->len; i++) {
+        const LrMember *member = members->rows->pdata[i];
+        if (!member->listed && member->state == LR_MEMBER_DEAD) {
+            continue;
+        }
+        (*count)++;
+        rank += LrStr_Compare(member->name, members->self->name) < 0;
+    }
+    return rank;
+}
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -107,6 +107,7 @@
     LrTime advanced_at;
     size_t running;
     bool stopping;
+    LrShare share;
 };
 
 /* attempt.c */
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -65,14 +65,11 @@
     LrEntryState *state = g_hash_table_lookup(states->entries, key);
     if (!state) {
         state = g_new0(LrEntryState, 1);
-        LrBucket_Init(&state->rate, rate, MAX(1, rate), now);
+        LrBucket_Init(&state->rate, rate, rate, now);
         g_hash_table_insert(states->entries, key, state);
         return state;
     }
     g_free(key);
-    state->rate.per_second = rate;
-    state->rate.cap = MAX(1, rate);
-    state->rate.tokens = MIN(state->rate.tokens, state->rate.cap);
     return state;
 }
 
--- a/liblavenderrail/watch.c
+++ b/liblavenderrail/watch.c
@@ -17,11 +17,6 @@
 #define WATCH_SLACK (5 * LR_SECOND)
 #define READ_TIMEOUT (5 * LR_SECOND)
 
-typedef struct {
-    int64_t revision;
-    json_t *json;
-} Value;
-
 typedef struct {
     LrWatch *watch;
     ev_timer timer;
@@ -35,11 +30,12 @@
     LrWatchConfig config;
     Source manifest;
     Source hosts;
-    GHashTable *values;
+    bool reading;
+    LrStore *store;
+    /* Being read: the values to come, and those that are there. */
+    LrStore *candidate;
     json_t *wanted;
-    int64_t wanted_revision;
     GPtrArray *pending;
-    LrCatalogue *catalogue;
     LrTime accepted_at;
     int64_t refused_revision;
     char *refused_why;
@@ -48,14 +44,6 @@
 
 static void read_next(LrWatch *watch);
 
-static void
-free_value(gpointer data)
-{
-    Value *value = data;
-    json_decref(value->json);
-    g_free(value);
-}
-
 /* Calls the source again after a jittered pause. */
 static void
 schedule(Source *source, LrTime pause)
@@ -106,10 +94,11 @@
 }
 
 static void
-accept(LrWatch *watch, LrCatalogue *catalogue, const char *source)
+accept(LrWatch *watch, LrStore *store, LrCatalogue *catalogue,
+       const char *source)
 {
-    LrCatalogue_Unref(watch->catalogue);
-    watch->catalogue = catalogue;
+    LrStore_Free(watch->store);
+    watch->store = store;
     watch->accepted_at = LrLoop_Now();
     LrCounters_Add(watch->config.counters, LR_COUNT_CATALOGUE_ACCEPTED, 1);
     LR_LOG(watch->config.log, LOG_NOTICE, "catalogue_accepted",
@@ -118,79 +107,38 @@
     watch->config.catalogue(watch->config.data, catalogue);
 }
 
-static int64_t
-revision_in_force(const LrWatch *watch)
-{
-    return watch->catalogue ? watch->catalogue->spec.revision : 0;
-}
-
-static bool
-offer(LrWatch *watch, LrStr text, int64_t revision, const char *source)
+bool
+LrWatch_Offer(LrWatch *watch, LrStore *store, const char *source)
 {
+    g_autofree char *text = LrStore_Assemble(store);
     LrFaults *faults = LrFaults_New();
-    LrCatalogue *catalogue = LrCatalogue_Parse(text, faults);
-    bool newer = false;
+    LrCatalogue *catalogue = LrCatalogue_Parse(LrStr_FromC(text), faults);
+    int64_t revision = LrStore_Revision(store);
+    bool newer = catalogue && revision > LrStore_Revision(watch->store);
     if (!catalogue) {
         refuse(watch, revision, faults, source);
     }
-    else if (catalogue->spec.revision > revision_in_force(watch)) {
-        accept(watch, catalogue, source);
-        newer = true;
+    if (newer) {
+        accept(watch, store, catalogue, source);
     }
     else {
-        LrCatalogue_Unref(catalogue);
+        LrStore_Free(store);
     }
+    LrCatalogue_Unref(catalogue);
     LrFaults_Free(faults);
     return newer;
 }
 
-bool
-LrWatch_Offer(LrWatch *watch, LrStr text, const char *source)
+const LrStore *
+LrWatch_Store(const LrWatch *watch)
 {
-    return offer(watch, text, 0, source);
+    return watch->store;
 }
 
-LrCatalogue *
-LrWatch_Catalogue(LrWatch *watch)
+int64_t
+LrWatch_RefusedRevision(const LrWatch *watch)
 {
-    return watch->catalogue;
-}
-
-/* Appends the values under a prefix, in the order of their names. */
-static json_t *
-collect_values(LrWatch *watch, const char *prefix)
-{
-    json_t *list = json_array();
-    GList *names = NULL;
-    const char *name;
-    json_t *revision;
-    json_object_foreach(watch->wanted, name, revision)
-    {
-        if (g_str_has_prefix(name, prefix)) {
-            names = g_list_insert_sorted(names, (gpointer)name,
-                                         (GCompareFunc)strcmp);
-        }
-    }
-    for (GList *at = names; at; at = at->next) {
-        Value *value = g_hash_table_lookup(watch->values, at->data);
-        json_array_append(list, value->json);
-    }
-    g_list_free(names);
-    return list;
-}
-
-static void
-assemble(LrWatch *watch)
-{
-    json_t *whole = json_pack("{s:I, s:o, s:o}", "revision",
-                              (json_int_t)watch->wanted_revision, "services",
-                              collect_values(watch, "service/"), "entries",
-                              collect_values(watch, "entry/"));
-    char *text = json_dumps(whole, JSON_COMPACT);
-    json_decref(whole);
-    offer(watch, LrStr_FromC(text), watch->wanted_revision, "service");
-    free(text);
-    schedule(&watch->manifest, 0);
+    return watch->refused_revision;
 }
 
 static void
@@ -211,10 +159,8 @@
         retry_later(&watch->manifest, "value missing, damaged or moved on");
         return;
     }
-    Value *value = g_new0(Value, 1);
-    value->revision = revision;
-    value->json = json;
-    g_hash_table_insert(watch->values, g_strdup(name), value);
+    LrStore_Set(watch->candidate, name, revision, text);
+    json_decref(json);
     g_ptr_array_set_size(watch->pending, (gint)watch->pending->len - 1);
     read_next(watch);
 }
@@ -223,7 +169,8 @@
 read_next(LrWatch *watch)
 {
     if (watch->pending->len == 0) {
-        assemble(watch);
+        LrWatch_Offer(watch, g_steal_pointer(&watch->candidate), "service");
+        schedule(&watch->manifest, 0);
         return;
     }
     const char *name = watch->pending->pdata[watch->pending->len - 1];
@@ -241,10 +188,28 @@
            !strpbrk(strchr(name, '/') + 1, "/?#% \r\n");
 }
 
+static void
+drop_unwanted(LrWatch *watch)
+{
+    GPtrArray *names = LrStore_Names(watch->store);
+    int64_t revision = LrStore_Revision(watch->candidate);
+    for (guint i = 0; i < names->len; i++) {
+        if (!json_object_get(watch->wanted, names->pdata[i])) {
+            LrStore_Remove(watch->candidate, names->pdata[i], revision);
+        }
+    }
+    g_ptr_array_unref(names);
+}
+
+/* Builds the candidate from the values in force and lists those to read. */
 static bool
-plan_reads(LrWatch *watch)
+plan_reads(LrWatch *watch, int64_t manifest_revision)
 {
     g_ptr_array_set_size(watch->pending, 0);
+    LrStore_Free(watch->candidate);
+    watch->candidate = LrStore_Fork(watch->store);
+    LrStore_SetRevision(watch->candidate, manifest_revision);
+    drop_unwanted(watch);
     const char *name;
     json_t *revision;
     json_object_foreach(watch->wanted, name, revision)
@@ -252,8 +217,7 @@
         if (!json_is_integer(revision) || !is_value_name(name)) {
             return false;
         }
-        Value *value = g_hash_table_lookup(watch->values, name);
-        if (!value || value->revision != json_integer_value(revision)) {
+        if (!LrStore_Has(watch->store, name, json_integer_value(revision))) {
             g_ptr_array_add(watch->pending, g_strdup(name));
         }
     }
@@ -270,15 +234,14 @@
         return;
     }
     int64_t number = json_integer_value(revision);
-    if (number <= revision_in_force(watch) ||
+    if (number <= LrStore_Revision(watch->store) ||
         number == watch->refused_revision) {
         schedule(&watch->manifest, watch->config.retry);
         return;
     }
     json_decref(watch->wanted);
     watch->wanted = json_incref(values);
-    watch->wanted_revision = number;
-    if (!plan_reads(watch)) {
+    if (!plan_reads(watch, number)) {
         retry_later(&watch->manifest, "manifest damaged");
         return;
     }
@@ -318,7 +281,12 @@
 static void
 start_manifest(LrWatch *watch)
 {
-    int64_t after = MAX(revision_in_force(watch), watch->refused_revision);
+    if (!watch->reading) {
+        schedule(&watch->manifest, watch->config.wait);
+        return;
+    }
+    int64_t after =
+        MAX(LrStore_Revision(watch->store), watch->refused_revision);
     char *url = watch_url(watch, watch->config.config_url, "manifest", after);
     send_get(watch, &watch->manifest, url, watch->config.wait + WATCH_SLACK,
              on_manifest);
@@ -392,13 +360,22 @@
     schedule(source, 0);
 }
 
+void
+LrWatch_SetReading(LrWatch *watch, bool reading)
+{
+    if (reading && !watch->reading && !watch->manifest.transfer) {
+        schedule(&watch->manifest, watch->config.retry);
+    }
+    watch->reading = reading;
+}
+
 LrWatch *
 LrWatch_New(const LrWatchConfig *config)
 {
     LrWatch *watch = g_new0(LrWatch, 1);
     watch->config = *config;
-    watch->values =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_value);
+    watch->store = LrStore_New();
+    watch->reading = true;
     watch->pending = g_ptr_array_new_with_free_func(g_free);
     init_source(watch, &watch->manifest, start_manifest);
     init_source(watch, &watch->hosts, start_hosts);
@@ -422,10 +399,10 @@
     }
     stop_source(&watch->manifest);
     stop_source(&watch->hosts);
-    g_hash_table_unref(watch->values);
+    LrStore_Free(watch->store);
+    LrStore_Free(watch->candidate);
     g_ptr_array_unref(watch->pending);
     json_decref(watch->wanted);
-    LrCatalogue_Unref(watch->catalogue);
     g_free(watch->refused_why);
     g_free(watch);
 }
@@ -440,9 +417,9 @@
 LrWatch_Dump(const LrWatch *watch)
 {
     return json_pack(
-        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:s}", "revision",
-        (json_int_t)revision_in_force(watch), "age_ms",
-        (json_int_t)age_ms(watch->accepted_at), "service_heard_ms",
+        "{s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:s}", "reading",
+        watch->reading, "revision", (json_int_t)LrStore_Revision(watch->store),
+        "age_ms", (json_int_t)age_ms(watch->accepted_at), "service_heard_ms",
         (json_int_t)age_ms(watch->manifest.answered_at), "service_failures",
         (json_int_t)watch->manifest.failures, "hosts_revision",
         (json_int_t)watch->hosts_revision, "hosts_heard_ms",
