--- /dev/null
+++ b/tests/test_fleet.cc
@@ -0,0 +1,180 @@
+// Three daemons in three zones: keys, catalogue, stops, pauses, cuts.
+#include "fleet.h"
+
+TEST(Fleet, KeyRunsOnceWhereverItsCopiesArrive)
+{
+    Fleet fleet(26100, 3);
+    ASSERT_TRUE(eventually([&] {
+        return http(fleet.operators(3, "/state")).body.find("\"serial\"") !=
+               std::string::npos;
+    }));
+    std::string key = fleet.key(1);
+    EXPECT_TRUE(eventually([&] {
+        return fleet.order(2, key).outcome() == "complete";
+    })) << "forwarded once the members know each other";
+    std::string own = fleet.order(1, key).body;
+    EXPECT_EQ(fleet.order(3, key).body, own) << "the same answer everywhere";
+    EXPECT_EQ(fleet.runs(key), 1);
+    EXPECT_EQ(fleet.order(3, key, "{\"other\":1}").status, 409);
+}
+
+TEST(Fleet, ConcurrentCopiesWaitForOneRun)
+{
+    Fleet fleet(26200, 3);
+    std::string warm = fleet.key(1);
+    ASSERT_TRUE(eventually([&] {
+        return fleet.order(2, warm).outcome() == "complete" &&
+               fleet.order(3, warm).outcome() == "complete";
+    }));
+    fleet.fault("all", "slow=50");
+    std::string key = fleet.key(2);
+    std::vector<std::thread> callers;
+    std::atomic<int> n_complete{0};
+    for (int i = 0; i < 9; i++) {
+        callers.emplace_back([&, i] {
+            n_complete += fleet.order(1 + i % 3, key).outcome() == "complete";
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(n_complete, 9);
+    EXPECT_EQ(fleet.runs(key), 1);
+}
+
+TEST(Fleet, LostCoordinatorIsUnknownAndNeverRunsTwice)
+{
+    Fleet fleet(26300, 3);
+    std::string key = fleet.key(1);
+    ASSERT_TRUE(eventually(
+        [&] { return fleet.order(2, key).outcome() == "complete"; }));
+    fleet.daemons[1]->signal(SIGKILL);
+    fleet.daemons[1]->wait();
+    EXPECT_EQ(fleet.order(2, key).outcome(), "unknown");
+    fleet.start(1);
+    ASSERT_TRUE(fleet.ready(1));
+    EXPECT_EQ(fleet.order(1, key).outcome(), "unknown")
+        << "the new incarnation does not know what became of it";
+    EXPECT_EQ(fleet.runs(key), 1);
+}
+
+TEST(Fleet, PausedCoordinatorRunsNothingLate)
+{
+    Fleet fleet(26400, 3);
+    std::string warm = fleet.key(1);
+    ASSERT_TRUE(eventually(
+        [&] { return fleet.order(2, warm).outcome() == "complete"; }));
+    std::string key = fleet.key(1);
+    fleet.daemons[1]->signal(SIGSTOP);
+    std::string outcome = fleet.order(2, key).outcome();
+    EXPECT_EQ(outcome, "unknown");
+    fleet.daemons[1]->signal(SIGCONT);
+    EXPECT_TRUE(eventually(
+        [&] { return fleet.order(1, key).outcome() == "complete"; }));
+    EXPECT_EQ(fleet.runs(key), 1);
+}
+
+TEST(Fleet, EditReachesEveryDaemonAndNeverReverts)
+{
+    Fleet fleet(26500, 3);
+    fleet.edit(2, 700);
+    for (int i = 1; i <= 3; i++) {
+        EXPECT_TRUE(eventually([&] { return fleet.revision(i) == 2; })) << i;
+    }
+    fleet.platform_fault("stale=1");
+    fleet.edit(3, 800);
+    EXPECT_EQ(fleet.revision(1), 2) << "the service does not tell yet";
+    fleet.platform_fault("stale=0");
+    for (int i = 1; i <= 3; i++) {
+        EXPECT_TRUE(eventually([&] { return fleet.revision(i) == 3; })) << i;
+    }
+    fleet.edit(1, 500);
+    fleet.edit(2, 500);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    for (int i = 1; i <= 3; i++) {
+        EXPECT_EQ(fleet.revision(i), 3) << "turned back at " << i;
+    }
+    fleet.platform_fault("truncate=1");
+    fleet.edit(4, 900);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    EXPECT_EQ(fleet.revision(1), 3) << "a damaged value was taken";
+    fleet.platform_fault("truncate=0");
+    for (int i = 1; i <= 3; i++) {
+        EXPECT_TRUE(eventually([&] { return fleet.revision(i) == 4; })) << i;
+    }
+}
+
+TEST(Fleet, DaemonCutOffFromTheServiceLearnsFromPeers)
+{
+    Fleet fleet(26600, 2);
+    fleet.daemons[2]->signal(SIGTERM);
+    fleet.daemons[2]->wait();
+    fleet.start(2, "http://127.0.0.1:9");
+    EXPECT_TRUE(fleet.ready(2)) << "catches up before it serves";
+    fleet.edit(2, 700);
+    EXPECT_TRUE(eventually([&] { return fleet.revision(2) == 2; }));
+    EXPECT_EQ(fleet.query(2).outcome(), "complete");
+}
+
+TEST(Fleet, ServiceDownForLongChangesNothing)
+{
+    Fleet fleet(26700, 2);
+    fleet.platform_fault("down=1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    EXPECT_EQ(fleet.revision(1), 1);
+    EXPECT_EQ(fleet.query(1).outcome(), "complete");
+    EXPECT_EQ(fleet.query(2).outcome(), "complete");
+}
+
+TEST(Fleet, ReplacingEveryHostCutsOffNothing)
+{
+    Fleet fleet(26800, 3);
+    std::atomic<bool> over{false};
+    std::atomic<int> n_bad{0}, n_good{0}, taken{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 4; i++) {
+        callers.emplace_back([&, i] {
+            for (int n = i; !over; n++) {
+                int to = 1 + n % 3;
+                if (to == taken) {
+                    continue;
+                }
+                HttpAnswer answer = fleet.query(to);
+                (answer.outcome() == "complete" ? n_good : n_bad)++;
+            }
+        });
+    }
+    for (int i = 1; i <= 3; i++) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        fleet.daemons[(size_t)i]->signal(SIGTERM);
+        EXPECT_TRUE(eventually([&] {
+            return http(fleet.operators(i, "/readyz"), nullptr, {}, 500)
+                       .status != 200;
+        }));
+        taken = i;
+        EXPECT_EQ(fleet.daemons[(size_t)i]->wait(), 0);
+        fleet.start(i);
+        EXPECT_TRUE(fleet.ready(i));
+        taken = 0;
+    }
+    over = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(n_bad, 0);
+    EXPECT_GT(n_good, 50);
+}
+
+TEST(Fleet, QuarantineSpreads)
+{
+    Fleet fleet(26900, 2);
+    fleet.fault("all", "crash_on=poison");
+    fleet.query(1, "{\"q\":\"poison\"}");
+    EXPECT_TRUE(eventually([&] {
+        return http(fleet.operators(2, "/state")).body.find("fingerprint") !=
+               std::string::npos;
+    }));
+    HttpAnswer answer = fleet.query(2, "{\"q\":\"poison\"}");
+    EXPECT_EQ(answer.outcome(), "not_run");
+    EXPECT_EQ(answer.text("reason"), "quarantined");
+}
