--- a/bench/bench.c
+++ b/bench/bench.c
@@ -15,6 +15,7 @@
 static const Command COMMANDS[] = {
     {"policy", "decisions under load and faults, in virtual time",
      Bench_Policy},
+    {"histories", "random faulty runs, checked", Bench_Histories},
 };
 
 int
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -12,5 +12,9 @@
 int Bench_Parse(const char *command, int argc, char **argv, void **table,
                 struct arg_end *end);
 int Bench_Policy(int argc, char **argv);
+int Bench_Histories(int argc, char **argv);
+int Bench_Core(int argc, char **argv);
+int Bench_Load(int argc, char **argv);
+int Bench_Scale(int argc, char **argv);
 
 #endif
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -124,6 +124,8 @@
         Evidence evidence = {.request = job->request,
                              .group = job->group,
                              .version = job->version};
+        evidence.group += sim->plant == SIM_PLANT_FALSE_COVERAGE;
+        evidence.version += sim->plant == SIM_PLANT_MIXED_SNAPSHOT;
         job->reply.version = job->version;
         job->reply.body = g_bytes_new(&evidence, sizeof(evidence));
     }
@@ -155,15 +157,27 @@
     target->dead = false;
 }
 
+static void
+count_run(Sim *sim, size_t index)
+{
+    SimRequest *request = &g_array_index(sim->requests, SimRequest, index);
+    request->n_runs += sim->plant == SIM_PLANT_DOUBLE_RUNS ? 2 : 1;
+    sim->result.double_runs += request->once && request->n_runs > 1;
+}
+
 static void
 start_job(SimJob *job)
 {
     SimTarget *target = job->target;
     Sim *sim = job->sim;
-    SimRequest *request =
-        &g_array_index(sim->requests, SimRequest, job->request);
-    request->n_runs++;
+    if (!job->poisonous) {
+        count_run(sim, job->request);
+    }
     target->last_new_work = sim->now;
+    if (sim->plant == SIM_PLANT_NEW_WORK_AT_LEAVING) {
+        target->draining = true;
+        target->draining_since = sim->now - LR_SECOND * 3;
+    }
     job->running = true;
     TAILQ_REMOVE(&target->queued, job, of_target);
     target->n_queued--;
@@ -254,6 +268,12 @@
     }
 }
 
+static size_t
+shard_number(LrStr shard)
+{
+    return (size_t)strtoul(shard.ptr + 1, NULL, 10);
+}
+
 static void
 send_job(Sim *sim, const LrAction *action)
 {
@@ -268,7 +288,7 @@
     job->request = words[0];
     job->poisonous = words[1] == CALLER_POISON;
     job->version = action->version;
-    job->group = (size_t)strtoul(action->shard.ptr + 1, NULL, 10);
+    job->group = shard_number(action->shard);
     job->service = target->next_service;
     redraw_group(target);
     note_schedule(target, sim->now, job->service);
@@ -323,7 +343,8 @@
         }
         const Evidence *evidence = g_bytes_get_data(part->body, NULL);
         n_true++;
-        wrong |= evidence->request != request || evidence->group != i;
+        wrong |= evidence->request != request;
+        wrong |= evidence->group != shard_number(part->shard);
         mixed |= version && version != evidence->version;
         version = evidence->version;
     }
@@ -340,19 +361,26 @@
 {
     SimResult *result = &sim->result;
     size_t index = GPOINTER_TO_SIZE(got->data) - 1;
+    sim->n_ended += sim->plant != SIM_PLANT_LOST_ANSWERS;
     const SimRequest *request =
         &g_array_index(sim->requests, SimRequest, index);
     if (got->outcome == LR_OUTCOME_NOT_RUN) {
         result->n_refused++;
-        result->wrong_not_run += request->n_runs > 0;
+        result->wrong_not_run +=
+            request->n_runs > 0 || sim->plant == SIM_PLANT_WRONG_NOT_RUN;
     }
-    if (got->reason == LR_REASON_QUARANTINED && !request->poisonous) {
+    bool planted = sim->plant == SIM_PLANT_INNOCENT_QUARANTINED;
+    if ((got->reason == LR_REASON_QUARANTINED || planted) &&
+        !request->poisonous) {
         result->innocent_quarantined++;
     }
     if (got->outcome == LR_OUTCOME_NOT_RUN || request->poisonous) {
         return;
     }
     check_parts(sim, got, index);
+    if (request->once) {
+        return;
+    }
     double ms = (double)(sim->now - request->sent_at) / (double)LR_MILLISECOND;
     result->n_answers++;
     double share = (double)got->n_answered / (double)got->n_parts;
@@ -385,6 +413,36 @@
     }
 }
 
+typedef struct {
+    Sim *sim;
+    uint64_t id;
+    LrTimer timer;
+} Abort;
+
+static void
+on_abort(void *data, LrTime now)
+{
+    Abort *abort_row = data;
+    Sim *sim = abort_row->sim;
+    if (now >= sim->paused_until) {
+        sim->n_ended += LrEngine_Cancel(sim->engine, now, abort_row->id);
+        settle(sim);
+    }
+    g_free(abort_row);
+}
+
+/* The caller goes away within the next few milliseconds. */
+static void
+abort_later(Sim *sim, uint64_t id)
+{
+    Abort *abort_row = g_new0(Abort, 1);
+    abort_row->sim = sim;
+    abort_row->id = id;
+    abort_row->timer = (LrTimer){.func = on_abort, .data = abort_row};
+    LrTime delay = (LrTime)(gsl_rng_uniform(sim->rng) * 10e6);
+    LrTimers_Set(sim->timers, &abort_row->timer, sim->now + delay);
+}
+
 static void
 submit_request(Sim *sim, LrTime now)
 {
@@ -392,19 +450,30 @@
         .sent_at = now,
         .urgent = gsl_rng_uniform(sim->rng) < sim->urgent_share,
         .poisonous = gsl_rng_uniform(sim->rng) < sim->poison_share,
+        .once = gsl_rng_uniform(sim->rng) < sim->once_share,
     };
     size_t index = sim->requests->len;
     g_array_append_val(sim->requests, request);
     uint64_t words[2] = {request.poisonous ? 0 : index,
                          request.poisonous ? CALLER_POISON : 0};
     GBytes *body = g_bytes_new(words, sizeof(words));
+    const char *entry = request.urgent ? "urgent" : "routine";
+    if (request.once) {
+        entry = "once";
+    }
     LrRequest ask = {
-        .entry = LrStr_FromC(request.urgent ? "urgent" : "routine"),
+        .entry = LrStr_FromC(entry),
         .body = body,
+        .call = request.once,
         .data = GSIZE_TO_POINTER(index + 1),
     };
-    LrEngine_Submit(sim->engine, now, &ask);
+    uint64_t id = LrEngine_Submit(sim->engine, now, &ask);
     g_bytes_unref(body);
+    settle(sim);
+    sim->n_submitted++;
+    if (gsl_rng_uniform(sim->rng) < sim->abort_share) {
+        abort_later(sim, id);
+    }
 }
 
 static void
@@ -468,6 +537,12 @@
             urgent ? "," : "", LrClass_Names[!urgent], LrClass_Names[!urgent],
             sim->size->entry_json);
     }
+    g_string_append_printf(text,
+                           ",{\"name\":\"once\",\"owner\":\"o\","
+                           "\"service\":\"s\",\"idempotent\":false,"
+                           "\"max_concurrency\":100000,"
+                           "\"rate_per_s\":10000000,%s}",
+                           sim->size->entry_json);
     g_string_append(text, "]}");
     LrFaults *faults = LrFaults_New();
     LrCatalogue *catalogue =
@@ -624,7 +699,8 @@
     LrTimers_Set(sim->timers, &sim->arrival, sim->now + 1);
     for (;;) {
         LrTime due = MIN(LrTimers_Next(sim->timers), engine_due(sim));
-        bool over = due >= sim->end && LrEngine_Running(sim->engine) == 0;
+        bool over = due >= sim->end && LrEngine_Running(sim->engine) == 0 &&
+                    sim->now >= sim->paused_until;
         if (due == LR_NEVER || over) {
             break;
         }
@@ -635,6 +711,7 @@
             settle(sim);
         }
     }
+    sim->result.lost_answers = sim->n_submitted - sim->n_ended;
     const uint64_t *counts = sim->counters->values;
     sim->result.first_attempts = counts[LR_COUNT_SUB_REQUESTS];
     sim->result.all_attempts = counts[LR_COUNT_SUB_REQUESTS] +
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -60,8 +60,22 @@
     uint32_t n_runs;
     bool urgent;
     bool poisonous;
+    bool once;
 } SimRequest;
 
+/* Violations that can be planted, to show that each is noticed. */
+typedef enum {
+    SIM_PLANT_NONE,
+    SIM_PLANT_FALSE_COVERAGE,
+    SIM_PLANT_MIXED_SNAPSHOT,
+    SIM_PLANT_WRONG_NOT_RUN,
+    SIM_PLANT_DOUBLE_RUNS,
+    SIM_PLANT_LOST_ANSWERS,
+    SIM_PLANT_INNOCENT_QUARANTINED,
+    SIM_PLANT_NEW_WORK_AT_LEAVING,
+    SIM_N_PLANTS,
+} SimPlant;
+
 typedef struct {
     const char *name;
     size_t n_groups;
@@ -83,6 +97,8 @@
     uint64_t false_coverage;
     uint64_t mixed_snapshot;
     uint64_t wrong_not_run;
+    uint64_t double_runs;
+    uint64_t lost_answers;
     uint64_t innocent_quarantined;
     uint64_t poison_runs;
     uint64_t first_attempts;
@@ -108,6 +124,9 @@
     double rate_per_s;
     double urgent_share;
     double poison_share;
+    /* Non-idempotent calls, and requests whose caller goes away. */
+    double once_share;
+    double abort_share;
     double slow_request_share;
     double slow_request_factor;
     LrTimer arrival;
@@ -115,6 +134,9 @@
     int64_t version;
     int64_t catalogue_revision;
     size_t shift;
+    SimPlant plant;
+    uint64_t n_submitted;
+    uint64_t n_ended;
     SimResult result;
 };
 
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -48,7 +48,7 @@
 }
 
 static void
-dump_quarantined(void *data, uint64_t fingerprint, unsigned strikes,
+dump_quarantined(void *data, uint64_t fingerprint, bool condemned,
                  LrTime until)
 {
     json_t *list = data;
@@ -56,8 +56,8 @@
     g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", fingerprint);
     LrTime left = until - LrLoop_Now();
     json_array_append_new(list,
-                          json_pack("{s:s, s:i, s:I}", "fingerprint", text,
-                                    "strikes", (int)strikes, "left_ms",
+                          json_pack("{s:s, s:b, s:I}", "fingerprint", text,
+                                    "condemned", condemned, "left_ms",
                                     (json_int_t)(left / LR_MILLISECOND)));
 }
 
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -166,15 +166,16 @@
     return id;
 }
 
-void
+bool
 LrEngine_Cancel(LrEngine *engine, LrTime now, uint64_t id)
 {
     LrQuery *query = g_hash_table_lookup(engine->by_id, &id);
     if (!query) {
-        return;
+        return false;
     }
     LrQuery_Abandon(engine, query);
     settle(engine, now);
+    return true;
 }
 
 static void
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -28,11 +28,11 @@
 } Condemned;
 
 static void
-collect_condemned(void *data, uint64_t fingerprint, unsigned strikes,
+collect_condemned(void *data, uint64_t fingerprint, bool condemned,
                   LrTime until)
 {
     Condemned *found = data;
-    if (strikes < 2 || found->n == MAX_CONDEMNED || until <= found->now) {
+    if (!condemned || found->n == MAX_CONDEMNED || until <= found->now) {
         return;
     }
     char *text = found->texts[found->n];
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -382,6 +382,7 @@
     LrTime report_at;
     uint32_t failures;
     LrTime failed_at;
+    LrTime broken_at;
     uint32_t ejections;
     LrTime ejected_until;
     unsigned leaving_signs;
@@ -576,10 +577,18 @@
 uint64_t LrQuarantine_Fingerprint(LrStr entry, LrStr body);
 LrVerdict LrQuarantine_Check(LrQuarantine *quarantine, uint64_t fingerprint,
                              LrTime now);
-/* Records that a target died with the request in flight. isolated: no
- * other suspect was in flight there; only such a death condemns. */
+/* Who else was in flight when a target died. */
+typedef enum {
+    /* Other requests that may be to blame as well. */
+    LR_COMPANY_SUSPECTS,
+    /* Requests that no other target died of, but no other suspect. */
+    LR_COMPANY_OTHERS,
+    LR_COMPANY_NONE,
+} LrCompany;
+
+/* Records that a target died with the request in flight. */
 LrVerdict LrQuarantine_Strike(LrQuarantine *quarantine, uint64_t fingerprint,
-                              uint32_t target, bool isolated, LrTime now);
+                              uint32_t target, LrCompany company, LrTime now);
 /* A target answered the request: it is no suspect. */
 void LrQuarantine_Absolve(LrQuarantine *quarantine, uint64_t fingerprint);
 /* Condemns by another daemon's word until a time. */
@@ -588,7 +597,7 @@
 size_t LrQuarantine_Count(const LrQuarantine *quarantine);
 void LrQuarantine_Each(LrQuarantine *quarantine,
                        void (*func)(void *data, uint64_t fingerprint,
-                                    unsigned strikes, LrTime until),
+                                    bool condemned, LrTime until),
                        void *data);
 
 /* ledger.c: idempotency keys and what became of their requests. */
@@ -784,8 +793,9 @@
  * LrEngine_Cancel. */
 uint64_t LrEngine_Submit(LrEngine *engine, LrTime now,
                          const LrRequest *request);
-/* The caller went away: stops all work of the request; no answer comes. */
-void LrEngine_Cancel(LrEngine *engine, LrTime now, uint64_t id);
+/* The caller went away: stops all work of the request; no answer comes.
+ * False when the request had ended. */
+bool LrEngine_Cancel(LrEngine *engine, LrTime now, uint64_t id);
 void LrEngine_OnReply(LrEngine *engine, LrTime now, uint64_t attempt,
                       const LrReply *reply);
 /* Fires timers and notices gaps in the clock; call it first after every
--- a/liblavenderrail/quarantine.c
+++ b/liblavenderrail/quarantine.c
@@ -1,18 +1,23 @@
 /* Requests that crash targets. The first death of a target makes each
  * request in flight there a suspect. A suspect goes only to targets without
- * another suspect; when it is in flight at the death of a second target, it
- * is refused for a bounded time. */
+ * another suspect. When a second target dies of it alone, or a third one
+ * dies of it among others, it is refused for a bounded time. */
 #include "lavenderrail.h"
 
 #define SUSPECT_TTL (60 * LR_SECOND)
 #define CONDEMNED_TTL (300 * LR_SECOND)
 
-enum { MAX_ROWS = 4096, STRIKES_TO_CONDEMN = 2 };
+enum {
+    MAX_ROWS = 4096,
+    STRIKES_ALONE = 2,
+    STRIKES_IN_COMPANY = 3,
+};
 
 typedef struct {
     uint64_t fingerprint;
     unsigned strikes;
-    uint32_t first_target;
+    bool condemned;
+    uint32_t last_target;
     LrTime until;
 } Row;
 
@@ -62,8 +67,7 @@
     if (!row) {
         return LR_VERDICT_CLEAR;
     }
-    return row->strikes >= STRIKES_TO_CONDEMN ? LR_VERDICT_CONDEMNED
-                                              : LR_VERDICT_SUSPECT;
+    return row->condemned ? LR_VERDICT_CONDEMNED : LR_VERDICT_SUSPECT;
 }
 
 LrVerdict
@@ -96,7 +100,7 @@
 
 LrVerdict
 LrQuarantine_Strike(LrQuarantine *quarantine, uint64_t fingerprint,
-                    uint32_t target, bool isolated, LrTime now)
+                    uint32_t target, LrCompany company, LrTime now)
 {
     Row *row = lookup_row(quarantine, fingerprint, now);
     if (!row) {
@@ -104,13 +108,21 @@
         if (!row) {
             return LR_VERDICT_CLEAR;
         }
-        row->first_target = target;
+        row->last_target = target;
         row->strikes = 1;
         row->until = now + SUSPECT_TTL;
         return LR_VERDICT_SUSPECT;
     }
-    if (isolated && row->first_target != target) {
-        row->strikes++;
+    if (company == LR_COMPANY_SUSPECTS || row->last_target == target ||
+        row->condemned) {
+        return verdict_of(row);
+    }
+    row->strikes++;
+    row->last_target = target;
+    unsigned needed =
+        company == LR_COMPANY_NONE ? STRIKES_ALONE : STRIKES_IN_COMPANY;
+    if (row->strikes >= needed) {
+        row->condemned = true;
         row->until = now + CONDEMNED_TTL;
     }
     return verdict_of(row);
@@ -120,7 +132,7 @@
 LrQuarantine_Absolve(LrQuarantine *quarantine, uint64_t fingerprint)
 {
     Row *row = g_hash_table_lookup(quarantine->rows, &fingerprint);
-    if (row && row->strikes < STRIKES_TO_CONDEMN) {
+    if (row && !row->condemned) {
         g_hash_table_remove(quarantine->rows, &fingerprint);
     }
 }
@@ -134,7 +146,7 @@
         row = add_row(quarantine, fingerprint, 0);
     }
     if (row) {
-        row->strikes = MAX(row->strikes, STRIKES_TO_CONDEMN);
+        row->condemned = true;
         row->until = MAX(row->until, until);
     }
 }
@@ -148,7 +160,7 @@
 void
 LrQuarantine_Each(LrQuarantine *quarantine,
                   void (*func)(void *data, uint64_t fingerprint,
-                               unsigned strikes, LrTime until),
+                               bool condemned, LrTime until),
                   void *data)
 {
     GHashTableIter iter;
@@ -156,6 +168,6 @@
     g_hash_table_iter_init(&iter, quarantine->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const Row *row = value;
-        func(data, row->fingerprint, row->strikes, row->until);
+        func(data, row->fingerprint, row->condemned, row->until);
     }
 }
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -257,13 +257,31 @@
     LrDispatch_Part(engine, part, now);
 }
 
+/* Requests that broke within this time broke by the same death. */
+#define SAME_DEATH (100 * LR_MILLISECOND)
+
+static LrCompany
+company_at(LrTarget *target, bool isolated, LrTime now)
+{
+    bool first =
+        target->broken_at == 0 || now - target->broken_at > SAME_DEATH;
+    target->broken_at = now;
+    if (!isolated || target->suspects > 0) {
+        return LR_COMPANY_SUSPECTS;
+    }
+    return first && target->in_flight == 0 ? LR_COMPANY_NONE
+                                           : LR_COMPANY_OTHERS;
+}
+
+/* The target died, for all that can be seen, while it ran the part. */
 static void
-strike(LrEngine *engine, LrQuery *query, LrPart *part, const LrTarget *target,
+strike(LrEngine *engine, LrQuery *query, LrPart *part, LrTarget *target,
        bool isolated, LrTime now)
 {
     part->n_broken++;
     LrVerdict verdict = LrQuarantine_Strike(
-        engine->quarantine, query->fingerprint, target->index, isolated, now);
+        engine->quarantine, query->fingerprint, target->index,
+        company_at(target, isolated, now), now);
     query->suspect = verdict != LR_VERDICT_CLEAR;
     if (verdict != LR_VERDICT_CONDEMNED) {
         return;
--- a/tests/test_quarantine.cc
+++ b/tests/test_quarantine.cc
@@ -20,10 +20,12 @@
 
 TEST_F(QuarantineTest, IsolatedSecondDeathCondemnsForABoundedTime)
 {
-    EXPECT_EQ(LrQuarantine_Strike(quarantine, 1, 10, false, LR_SECOND),
-              LR_VERDICT_SUSPECT);
-    EXPECT_EQ(LrQuarantine_Strike(quarantine, 1, 11, true, LR_SECOND),
-              LR_VERDICT_CONDEMNED);
+    EXPECT_EQ(
+        LrQuarantine_Strike(quarantine, 1, 10, LR_COMPANY_SUSPECTS, LR_SECOND),
+        LR_VERDICT_SUSPECT);
+    EXPECT_EQ(
+        LrQuarantine_Strike(quarantine, 1, 11, LR_COMPANY_NONE, LR_SECOND),
+        LR_VERDICT_CONDEMNED);
     EXPECT_EQ(LrQuarantine_Check(quarantine, 1, 2 * LR_SECOND),
               LR_VERDICT_CONDEMNED);
     EXPECT_EQ(LrQuarantine_Check(quarantine, 1, 400 * LR_SECOND),
@@ -32,25 +34,38 @@
 
 TEST_F(QuarantineTest, DeathBesideASuspectDoesNotCondemn)
 {
-    LrQuarantine_Strike(quarantine, 1, 10, false, LR_SECOND);
-    EXPECT_EQ(LrQuarantine_Strike(quarantine, 1, 11, false, LR_SECOND),
-              LR_VERDICT_SUSPECT);
+    LrQuarantine_Strike(quarantine, 1, 10, LR_COMPANY_SUSPECTS, LR_SECOND);
+    EXPECT_EQ(
+        LrQuarantine_Strike(quarantine, 1, 11, LR_COMPANY_SUSPECTS, LR_SECOND),
+        LR_VERDICT_SUSPECT);
+}
+
+TEST_F(QuarantineTest, AmongOthersItTakesAThirdDeath)
+{
+    LrQuarantine_Strike(quarantine, 1, 10, LR_COMPANY_OTHERS, LR_SECOND);
+    EXPECT_EQ(
+        LrQuarantine_Strike(quarantine, 1, 11, LR_COMPANY_OTHERS, LR_SECOND),
+        LR_VERDICT_SUSPECT);
+    EXPECT_EQ(
+        LrQuarantine_Strike(quarantine, 1, 12, LR_COMPANY_OTHERS, LR_SECOND),
+        LR_VERDICT_CONDEMNED);
 }
 
 TEST_F(QuarantineTest, SameTargetTwiceIsOneStrike)
 {
-    LrQuarantine_Strike(quarantine, 1, 10, false, LR_SECOND);
-    EXPECT_EQ(LrQuarantine_Strike(quarantine, 1, 10, true, LR_SECOND),
-              LR_VERDICT_SUSPECT);
+    LrQuarantine_Strike(quarantine, 1, 10, LR_COMPANY_SUSPECTS, LR_SECOND);
+    EXPECT_EQ(
+        LrQuarantine_Strike(quarantine, 1, 10, LR_COMPANY_NONE, LR_SECOND),
+        LR_VERDICT_SUSPECT);
 }
 
 TEST_F(QuarantineTest, AnswerAbsolvesASuspectOnly)
 {
-    LrQuarantine_Strike(quarantine, 1, 10, false, LR_SECOND);
+    LrQuarantine_Strike(quarantine, 1, 10, LR_COMPANY_SUSPECTS, LR_SECOND);
     LrQuarantine_Absolve(quarantine, 1);
     EXPECT_EQ(LrQuarantine_Check(quarantine, 1, LR_SECOND), LR_VERDICT_CLEAR);
-    LrQuarantine_Strike(quarantine, 1, 10, false, LR_SECOND);
-    LrQuarantine_Strike(quarantine, 1, 11, true, LR_SECOND);
+    LrQuarantine_Strike(quarantine, 1, 10, LR_COMPANY_SUSPECTS, LR_SECOND);
+    LrQuarantine_Strike(quarantine, 1, 11, LR_COMPANY_NONE, LR_SECOND);
     LrQuarantine_Absolve(quarantine, 1);
     EXPECT_EQ(LrQuarantine_Check(quarantine, 1, LR_SECOND),
               LR_VERDICT_CONDEMNED);
