quarantine: company: judge a death by who was there when it began

Attempts of a request that becomes a suspect now count as suspects at their targets, and all that break with a target are judged by what was in flight at its first break.

Only an attempt sent as a suspect earns a second strike.

--- a/liblavenderrail/attempt.c
+++ b/liblavenderrail/attempt.c
@@ -34,6 +34,7 @@
     attempt->kind = kind;
     attempt->sent_at = now;
     attempt->suspect = part->query->suspect;
+    attempt->sent_as_suspect = attempt->suspect;
     TAILQ_INSERT_TAIL(&target->attempts, attempt, of_target);
     target->in_flight++;
     target->suspects += attempt->suspect;
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -383,6 +383,9 @@
     uint32_t failures;
     LrTime failed_at;
     LrTime broken_at;
+    /* What was in flight at the target's last death. */
+    uint32_t death_suspects;
+    uint32_t death_requests;
     uint32_t ejections;
     LrTime ejected_until;
     unsigned leaving_signs;
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -26,7 +26,9 @@
     LrTarget *target;
     LrAttemptKind kind;
     LrTime sent_at;
+    /* Its request is a suspect; it was one already when this was sent. */
     bool suspect;
+    bool sent_as_suspect;
     TAILQ_ENTRY(LrAttempt) of_target;
 };
 
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -260,32 +260,69 @@
 /* Requests that broke within this time broke by the same death. */
 #define SAME_DEATH (100 * LR_MILLISECOND)
 
+/* The first request that breaks tells who was there when the target died;
+ * those that break after it were among them. */
 static LrCompany
-company_at(LrTarget *target, bool isolated, LrTime now)
+company_at(const LrAttempt *attempt, LrTarget *target, LrTime now)
 {
-    bool first =
-        target->broken_at == 0 || now - target->broken_at > SAME_DEATH;
+    if (target->broken_at == 0 || now - target->broken_at > SAME_DEATH) {
+        target->death_suspects = target->suspects;
+        target->death_requests = target->in_flight;
+    }
     target->broken_at = now;
-    if (!isolated || target->suspects > 0) {
+    if (!attempt->sent_as_suspect || target->death_suspects > 1) {
         return LR_COMPANY_SUSPECTS;
     }
-    return first && target->in_flight == 0 ? LR_COMPANY_NONE
-                                           : LR_COMPANY_OTHERS;
+    return target->death_requests == 1 ? LR_COMPANY_NONE : LR_COMPANY_OTHERS;
 }
 
-/* The target died, for all that can be seen, while it ran the part. */
+/* Attempts of a request that has just become a suspect are suspects too. */
 static void
-strike(LrEngine *engine, LrQuery *query, LrPart *part, LrTarget *target,
-       bool isolated, LrTime now)
+mark_suspect(LrQuery *query)
 {
+    query->suspect = true;
+    for (size_t i = 0; i < query->n_parts; i++) {
+        LrPart *part = &query->parts[i];
+        for (unsigned j = 0; j < part->n_live; j++) {
+            LrAttempt *attempt = part->live[j];
+            attempt->target->suspects += !attempt->suspect;
+            attempt->suspect = true;
+        }
+    }
+}
+
+static void
+mark_suspects(LrEngine *engine, uint64_t fingerprint)
+{
+    LrQuery *query;
+    TAILQ_FOREACH(query, &engine->queries, of_engine)
+    {
+        if (query->fingerprint == fingerprint) {
+            mark_suspect(query);
+        }
+    }
+}
+
+/* The target died, for all that can be seen, while it ran the attempt. */
+static LrVerdict
+strike(LrEngine *engine, const LrAttempt *attempt, LrTime now)
+{
+    LrPart *part = attempt->part;
+    LrTarget *target = attempt->target;
+    uint64_t fingerprint = part->query->fingerprint;
+    LrCompany company = company_at(attempt, target, now);
     part->n_broken++;
-    LrVerdict verdict = LrQuarantine_Strike(
-        engine->quarantine, query->fingerprint, target->index,
-        company_at(target, isolated, now), now);
-    query->suspect = verdict != LR_VERDICT_CLEAR;
-    if (verdict != LR_VERDICT_CONDEMNED) {
-        return;
+    LrVerdict verdict = LrQuarantine_Strike(engine->quarantine, fingerprint,
+                                            target->index, company, now);
+    if (verdict == LR_VERDICT_SUSPECT) {
+        mark_suspects(engine, fingerprint);
     }
+    return verdict;
+}
+
+static void
+condemn(LrEngine *engine, LrQuery *query)
+{
     LR_LOG(engine->config.log, LOG_WARNING, "request_quarantined",
            LrLog_Str("entry", query->entry->spec->name),
            LrLog_Int("fingerprint", (int64_t)query->fingerprint));
@@ -327,16 +364,16 @@
 }
 
 static void
-on_failed(LrEngine *engine, LrPart *part, LrTarget *target,
-          const LrReply *reply, bool isolated, LrTime now)
+on_failed(LrEngine *engine, LrPart *part, const LrReply *reply,
+          LrVerdict verdict, LrTime now)
 {
     LrQuery *query = part->query;
     part->reason = STATUS_REASONS[reply->status];
     if (proves_not_run(reply->status)) {
         query->n_unproven--;
     }
-    if (reply->status == LR_REPLY_BROKEN) {
-        strike(engine, query, part, target, isolated, now);
+    if (verdict == LR_VERDICT_CONDEMNED) {
+        condemn(engine, query);
     }
     if (part->state == LR_PART_MISSING) {
         return;
@@ -376,7 +413,6 @@
     LrPart *part = attempt->part;
     LrTarget *target = attempt->target;
     LrQuery *query = part->query;
-    bool isolated = attempt->suspect;
     bool wrong_version = reply->status == LR_REPLY_OK && reply->version &&
                          reply->version != query->map->version;
     LrReply checked = *reply;
@@ -384,12 +420,16 @@
         checked.status = LR_REPLY_GARBAGE;
         LrCounters_Add(engine->config.counters, LR_COUNT_BAD_ANSWERS, 1);
     }
+    LrVerdict verdict = LR_VERDICT_CLEAR;
+    if (checked.status == LR_REPLY_BROKEN) {
+        verdict = strike(engine, attempt, now);
+    }
     LrAttempt_Free(engine, attempt);
     if (checked.status == LR_REPLY_OK) {
         on_answered(engine, part, target, &checked, now);
     }
     else {
-        on_failed(engine, part, target, &checked, isolated, now);
+        on_failed(engine, part, &checked, verdict, now);
     }
     LrQuery_Progress(engine, query, now);
 }
