--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -220,6 +220,7 @@
         LrAction *action = LrEngine_AddAction(engine, LR_ACTION_CANCEL);
         action->attempt = attempt->id;
         LrCounters_Add(engine->config.counters, LR_COUNT_CANCELS, 1);
+        attempt->target->cancelled_at = engine->now;
         LrAttempt_Free(engine, attempt);
     }
 }
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -161,6 +161,7 @@
     if (engine->advanced_at == 0) {
         engine->advanced_at = now;
     }
+    engine->now = now;
     uint64_t id = LrQuery_Submit(engine, now, request);
     settle(engine, now);
     return id;
@@ -173,6 +174,7 @@
     if (!query) {
         return false;
     }
+    engine->now = now;
     LrQuery_Abandon(engine, query);
     settle(engine, now);
     return true;
@@ -226,6 +228,7 @@
         LrCounters_Add(engine->config.counters, LR_COUNT_LATE_REPLIES, 1);
         return;
     }
+    engine->now = now;
     learn(engine, attempt, reply, now);
     LrQuery_OnReply(engine, attempt, reply, now);
     settle(engine, now);
@@ -244,6 +247,7 @@
         LrRouter_OnLateWakeup(engine->router, now);
     }
     engine->advanced_at = now;
+    engine->now = now;
     LrTimers_Run(engine->timers, now);
     settle(engine, now);
 }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -383,6 +383,7 @@
     uint32_t failures;
     LrTime failed_at;
     LrTime broken_at;
+    LrTime cancelled_at;
     /* What was in flight at the target's last death. */
     uint32_t death_suspects;
     uint32_t death_requests;
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -107,6 +107,8 @@
     GPtrArray *dirty_targets;
     GPtrArray *dirty_states;
     LrTime advanced_at;
+    /* Time of the event being handled. */
+    LrTime now;
     size_t running;
     bool stopping;
     LrShare share;
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -268,6 +268,9 @@
     if (target->broken_at == 0 || now - target->broken_at > SAME_DEATH) {
         target->death_suspects = target->suspects;
         target->death_requests = target->in_flight;
+        /* A cancelled request may still have been running. */
+        target->death_requests += target->cancelled_at > 0 &&
+                                  now - target->cancelled_at < SAME_DEATH;
     }
     target->broken_at = now;
     if (!attempt->sent_as_suspect || target->death_suspects > 1) {
