--- a/bench/bench.c
+++ b/bench/bench.c
@@ -15,6 +15,8 @@
 static const Command COMMANDS[] = {
     {"policy", "decisions under load and faults, in virtual time",
      Bench_Policy},
+    {"core", "cost of a decision and of a sub-request", Bench_Core},
+    {"load", "callers on real loopback sockets", Bench_Load},
     {"histories", "random faulty runs, checked", Bench_Histories},
 };
 
