bench: scale: slopes of membership, catalogue, width and ledger

Cause: the planned size was argued, not measured. Membership machines run 650 in one process under virtual time; catalogue, ledger and query costs are measured on the real modules.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -17,6 +17,8 @@
      Bench_Policy},
     {"core", "cost of a decision and of a sub-request", Bench_Core},
     {"load", "callers on real loopback sockets", Bench_Load},
+    {"scale", "how costs grow, and what they come to when planned",
+     Bench_Scale},
     {"histories", "random faulty runs, checked", Bench_Histories},
 };
 
