record: unpack: check the lengths before msgpack-c allocates by them

Cause: the new peer fuzz target found 5 bytes that make msgpack-c allocate 137 GB (an array header alone). Any process that reaches the peer port could stop a daemon so. Lengths are now checked against the bytes that are there, and kinds that no message uses are refused.

--- a/liblavenderrail/record.c
+++ b/liblavenderrail/record.c
@@ -511,10 +511,87 @@
     return true;
 }
 
+/* Big-endian number of up to four bytes. */
+static size_t
+read_length(const unsigned char *at, size_t n_bytes)
+{
+    size_t length = 0;
+    for (size_t i = 0; i < n_bytes; i++) {
+        length = length << 8 | at[i];
+    }
+    return length;
+}
+
+/* Kinds of object that messages are made of: bytes of the length that
+ * follows the first byte, then bytes of the value, then items. */
+typedef struct {
+    unsigned char first;
+    unsigned char last;
+    unsigned char length_bytes;
+    unsigned char value_bytes;
+    bool is_array;
+} Kind;
+
+static const Kind KINDS[] = {
+    {0x00, 0x7f, 0, 0, false}, {0x90, 0x9f, 0, 0, true},
+    {0xc4, 0xc4, 1, 0, false}, {0xc5, 0xc5, 2, 0, false},
+    {0xc6, 0xc6, 4, 0, false}, {0xca, 0xca, 0, 4, false},
+    {0xcb, 0xcb, 0, 8, false}, {0xcc, 0xcc, 0, 1, false},
+    {0xcd, 0xcd, 0, 2, false}, {0xce, 0xce, 0, 4, false},
+    {0xcf, 0xcf, 0, 8, false}, {0xd0, 0xd0, 0, 1, false},
+    {0xd1, 0xd1, 0, 2, false}, {0xd2, 0xd2, 0, 4, false},
+    {0xd3, 0xd3, 0, 8, false}, {0xdc, 0xdc, 2, 0, true},
+    {0xdd, 0xdd, 4, 0, true},  {0xe0, 0xff, 0, 0, false},
+};
+
+static const Kind *
+find_kind(unsigned char byte)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(KINDS); i++) {
+        if (byte >= KINDS[i].first && byte <= KINDS[i].last) {
+            return &KINDS[i];
+        }
+    }
+    return NULL;
+}
+
+/* Whether the lengths that the bytes name fit into them. msgpack-c allocates
+ * by these lengths before it looks further. */
+static bool
+lengths_fit(LrStr data)
+{
+    const unsigned char *at = (const unsigned char *)data.ptr;
+    size_t left = data.len;
+    size_t n_open = 1;
+    while (n_open > 0 && n_open <= left) {
+        const Kind *kind = find_kind(*at);
+        if (!kind || left < 1U + kind->length_bytes + kind->value_bytes) {
+            return false;
+        }
+        size_t length = read_length(at + 1, kind->length_bytes);
+        if (kind->is_array && kind->length_bytes == 0) {
+            length = *at & 0x0f;
+        }
+        size_t skip = 1U + kind->length_bytes + kind->value_bytes;
+        skip += kind->is_array ? 0 : length;
+        if (length > left || skip > left) {
+            return false;
+        }
+        n_open += kind->is_array ? length : 0;
+        n_open--;
+        at += skip;
+        left -= skip;
+    }
+    return n_open == 0;
+}
+
 static bool
 unpack_object(msgpack_unpacked *unpacked, LrStr data)
 {
     msgpack_unpacked_init(unpacked);
+    if (!lengths_fit(data)) {
+        return false;
+    }
     size_t offset = 0;
     msgpack_unpack_return got =
         msgpack_unpack_next(unpacked, data.ptr, data.len, &offset);
--- a/tests/test_record.cc
+++ b/tests/test_record.cc
@@ -80,3 +80,13 @@
     EXPECT_FALSE(LrRecord_Unpack(&LrMemberMsg_Spec, bytes(buffer->len), &got,
                                  arena, nullptr));
 }
+
+TEST(RecordLimits, LengthsBeyondTheBytesAreRefused)
+{
+    const char arrays[] = "\xdd\xdd\xdd\xdd\x85";
+    EXPECT_EQ(LrRecord_PeekTag(LrStr{arrays, 5}), -1);
+    const char bytes[] = "\x92\x02\xc6\xff\xff\xff\xff";
+    EXPECT_EQ(LrRecord_PeekTag(LrStr{bytes, 7}), -1);
+    const char map[] = "\x92\x02\xdf\x7f\xff\xff\xff";
+    EXPECT_EQ(LrRecord_PeekTag(LrStr{map, 7}), -1);
+}
