admission: reserve: keep places by the mean of urgent work, not its peak

A place kept idle costs a ninth of a group's capacity; what is left is the queue that a target needs to stay busy over the transit.

--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -12,6 +12,10 @@
 #define WAITING_PER_GROUP 1.0
 /* The reserve for urgent work decays at this rate when none comes. */
 #define URGENT_FORGET_NS 2e9
+#define URGENT_WEIGHT 0.05
+/* Places kept free in each group, as a share of the urgent requests that
+ * run: each has one part in a group, for a part of its time. */
+#define URGENT_SHARE 0.6
 /* Share of answers that a late start must still be in time for. */
 #define NEEDED_QUANTILE 0.5
 
@@ -125,6 +129,14 @@
     }
 }
 
+/* The smoothed number, less what it lost while no urgent request came. */
+static double
+aged_urgent(const LrServiceState *state, LrTime now)
+{
+    return state->urgent_mean *
+           exp(-(double)(now - state->urgent_at) / URGENT_FORGET_NS);
+}
+
 void
 LrAdmission_Started(LrQuery *query, LrTime now)
 {
@@ -135,9 +147,8 @@
     }
     LrServiceState *state = state_of(query);
     state->urgent_running++;
-    double aged = state->urgent_peak *
-                  exp(-(double)(now - state->urgent_at) / URGENT_FORGET_NS);
-    state->urgent_peak = MAX(aged, state->urgent_running);
+    double mean = aged_urgent(state, now);
+    state->urgent_mean = mean + URGENT_WEIGHT * (state->urgent_running - mean);
     state->urgent_at = now;
 }
 
@@ -160,10 +171,8 @@
 LrAdmission_Reserve(const LrQuery *query, LrTime now)
 {
     const LrServiceState *state = state_of(query);
-    if (query->klass == LR_CLASS_URGENT || state->urgent_peak == 0) {
+    if (query->klass == LR_CLASS_URGENT || state->urgent_mean == 0) {
         return 0;
     }
-    double aged = state->urgent_peak *
-                  exp(-(double)(now - state->urgent_at) / URGENT_FORGET_NS);
-    return (uint32_t)(aged + 0.5);
+    return (uint32_t)ceil(URGENT_SHARE * aged_urgent(state, now));
 }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -499,7 +499,8 @@
     /* Parts that wait for a place at a target, over all groups. */
     uint32_t n_waiting;
     uint32_t urgent_running;
-    double urgent_peak;
+    /* Smoothed number of urgent requests that run at once. */
+    double urgent_mean;
     LrTime urgent_at;
     bool dirty;
 } LrServiceState;
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -240,15 +240,17 @@
     free_query(engine, query);
 }
 
-/* A part failed in a way that allows another attempt. */
+/* A part failed in a way that allows another attempt. One that never
+ * reached a target was no load and is repeated free of the budget. */
 static void
-retry_part(LrEngine *engine, LrPart *part, LrTime now)
+retry_part(LrEngine *engine, LrPart *part, LrReplyStatus status, LrTime now)
 {
     if (part->n_live > 0) {
         return;
     }
     if (LrRouter_AllEjected(part->group, now) ||
-        !LrBucket_Take(&engine->retries, now)) {
+        (status != LR_REPLY_CONNECT_FAILED &&
+         !LrBucket_Take(&engine->retries, now))) {
         LrGather_Missing(part, part->reason);
         return;
     }
@@ -391,7 +393,7 @@
         LrGather_Missing(part, part->reason);
         return;
     }
-    retry_part(engine, part, now);
+    retry_part(engine, part, reply->status, now);
 }
 
 static void
