--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -22,7 +22,7 @@
 LrReason
 LrAdmission_Check(LrEngine *engine, LrQuery *query, LrTime now)
 {
-    if (engine->stopping) {
+    if (engine->stopping && query->shard.len == 0) {
         return LR_REASON_STOPPING;
     }
     LrVerdict verdict =
@@ -32,6 +32,9 @@
         return LR_REASON_QUARANTINED;
     }
     query->suspect = verdict == LR_VERDICT_SUSPECT;
+    if (query->shard.len > 0) {
+        return LR_REASON_NONE;
+    }
     LrEntryState *state = query->entry->state;
     const LrEntrySpec *spec = query->entry->spec;
     double rate = (double)LrShare_Of(&engine->share, spec->rate_per_s);
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -76,6 +76,7 @@
 {
     Sent *sent = g_hash_table_lookup(daemon->sent, &action->attempt);
     if (!sent) {
+        LrRelay_Cancel(daemon->relay, action->attempt);
         return;
     }
     g_autofree char *url =
@@ -96,6 +97,9 @@
     if (pending->row) {
         LrKeyed_Answered(pending, action->answer);
     }
+    else if (pending->relayed) {
+        LrRelay_Answered(pending->daemon->relay, pending, action->answer);
+    }
     else {
         LrApi_Answered(pending, action->answer);
     }
@@ -116,14 +120,19 @@
     ev_timer_start(daemon->loop, &daemon->timer);
 }
 
-void
-LrDaemon_Settle(LrDaemon *daemon)
+static void
+carry_out(LrDaemon *daemon)
 {
     LrAction action;
     while (LrEngine_NextAction(daemon->engine, &action)) {
         switch (action.kind) {
         case LR_ACTION_SEND:
-            send_attempt(daemon, &action);
+            if (action.target->relay) {
+                LrRelay_Send(daemon->relay, &action);
+            }
+            else {
+                send_attempt(daemon, &action);
+            }
             break;
         case LR_ACTION_CANCEL:
             cancel_attempt(daemon, &action);
@@ -133,6 +142,14 @@
             break;
         }
     }
+}
+
+void
+LrDaemon_Settle(LrDaemon *daemon)
+{
+    do {
+        carry_out(daemon);
+    } while (LrRelay_Flush(daemon->relay));
     set_timer(daemon);
 }
 
@@ -310,6 +327,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_sent);
     daemon->client = LrClient_New(loop, 0, (size_t)settings->max_body_bytes);
     start_timers(daemon);
+    daemon->relay = LrRelay_New(daemon);
     daemon->forwarded = g_hash_table_new(g_int64_hash, g_int64_equal);
     if (!LrFleet_Start(daemon, error) || !open_servers(daemon, error)) {
         LrDaemon_Free(daemon);
@@ -342,6 +360,7 @@
     LrCounters_Free(daemon->counters);
     g_hash_table_unref(daemon->sent);
     g_hash_table_unref(daemon->forwarded);
+    LrRelay_Free(daemon->relay);
     g_free(daemon);
 }
 
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -17,11 +17,15 @@
     LrLedgerRow *row;
     /* A request that this daemon forwarded. */
     bool forwarded;
+    /* A shard that this daemon serves for another one. */
+    bool relayed;
     int64_t id;
     char *coordinator;
     ev_timer timer;
 } LrPending;
 
+typedef struct LrRelay LrRelay;
+
 struct LrDaemon {
     struct ev_loop *loop;
     LrSettings settings;
@@ -37,6 +41,7 @@
     GHashTable *sent;
     LrPeers *peers;
     LrMembers *members;
+    LrRelay *relay;
     GHashTable *forwarded;
     int64_t next_forward;
     ev_timer probe_timer;
@@ -49,6 +54,7 @@
     LrTime started_at;
     bool stopping;
     bool finished_waiting;
+    bool closing;
 };
 
 /* daemon.c */
@@ -74,6 +80,21 @@
 void LrKeyed_OnAnswer(LrDaemon *daemon, const LrCallAnswerMsg *message);
 void LrKeyed_LinkLost(LrDaemon *daemon, LrStr address);
 
+/* relay.c */
+LrRelay *LrRelay_New(LrDaemon *daemon);
+void LrRelay_Free(LrRelay *relay);
+void LrRelay_Send(LrRelay *relay, const LrAction *action);
+/* False when the attempt is no relayed one. */
+bool LrRelay_Cancel(LrRelay *relay, uint64_t attempt);
+/* Sends what gathered; true when there was anything. */
+bool LrRelay_Flush(LrRelay *relay);
+void LrRelay_Answered(LrRelay *relay, LrPending *pending,
+                      const LrAnswer *answer);
+void LrRelay_OnRelay(LrRelay *relay, const LrRelayMsg *message);
+void LrRelay_OnAnswer(LrRelay *relay, const LrRelayAnswerMsg *message);
+void LrRelay_OnCancel(LrRelay *relay, const LrRelayCancelMsg *message);
+void LrRelay_LinkLost(LrRelay *relay, LrStr address);
+
 /* fleet.c */
 bool LrFleet_Start(LrDaemon *daemon, GError **error);
 void LrFleet_Stop(LrDaemon *daemon);
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -50,6 +50,7 @@
     action->attempt = attempt->id;
     action->target = target;
     action->service = query->entry->service->name;
+    action->entry = query->entry->spec->name;
     action->shard = part->group->name;
     action->key = query->key;
     action->version = query->map->version;
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -29,6 +29,8 @@
     LrBucket_Init(&engine->retries, RETRY_PER_SECOND, RETRY_BURST, 0);
     LrShare_Init(&engine->share);
     TAILQ_INIT(&engine->queries);
+    engine->peers = g_array_new(FALSE, FALSE, sizeof(LrPeerSpec));
+    engine->links = 1;
     engine->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
     engine->attempts = g_ptr_array_new_with_free_func(g_free);
     engine->free_attempts = g_array_new(FALSE, FALSE, sizeof(guint));
@@ -61,6 +63,8 @@
     LrRouter_Free(engine->router);
     LrRandom_Free(engine->random);
     g_hash_table_unref(engine->by_id);
+    g_array_unref(engine->peers);
+    LrArena_Free(engine->peers_arena);
     g_ptr_array_unref(engine->attempts);
     g_ptr_array_unref(engine->dirty_targets);
     g_ptr_array_unref(engine->dirty_states);
@@ -122,15 +126,68 @@
     }
 }
 
-void
-LrEngine_SetCatalogue(LrEngine *engine, LrTime now, LrCatalogue *catalogue)
+static void
+build_view(LrEngine *engine, LrCatalogue *catalogue, LrTime now)
 {
+    LrTopology topology = {
+        .self = engine->self,
+        .daemons = (const LrPeerSpec *)(void *)engine->peers->data,
+        .n_daemons = engine->peers->len,
+        .links = engine->links,
+    };
     LrView *former = engine->view;
-    engine->view = LrView_New(catalogue, engine->router, engine->states, now);
+    engine->view =
+        LrView_New(catalogue, engine->router, engine->states, &topology, now);
     LrView_Unref(former);
     settle(engine, now);
 }
 
+/* Names and addresses of the daemons, to see whether anything changed. */
+static uint64_t
+peers_digest(const LrPeerSpec *daemons, size_t n_daemons)
+{
+    uint64_t digest = n_daemons;
+    for (size_t i = 0; i < n_daemons; i++) {
+        digest = LrStr_Hash(daemons[i].name, digest);
+        digest = LrStr_Hash(daemons[i].address, digest);
+    }
+    return digest;
+}
+
+void
+LrEngine_SetPeers(LrEngine *engine, LrTime now, LrStr self,
+                  const LrPeerSpec *daemons, size_t n_daemons, uint32_t links)
+{
+    uint64_t digest = peers_digest(daemons, n_daemons);
+    if (digest == engine->peers_digest) {
+        return;
+    }
+    engine->peers_digest = digest;
+    LrArena *former = engine->peers_arena;
+    engine->peers_arena = LrArena_New();
+    engine->self = LrArena_Copy(engine->peers_arena, self);
+    engine->links = links;
+    g_array_set_size(engine->peers, 0);
+    for (size_t i = 0; i < n_daemons; i++) {
+        LrPeerSpec copy = {
+            .name = LrArena_Copy(engine->peers_arena, daemons[i].name),
+            .zone = LrArena_Copy(engine->peers_arena, daemons[i].zone),
+            .address = LrArena_Copy(engine->peers_arena, daemons[i].address),
+        };
+        g_array_append_val(engine->peers, copy);
+    }
+    if (engine->view) {
+        build_view(engine, engine->view->catalogue, now);
+    }
+    LrArena_Free(former);
+}
+
+void
+LrEngine_SetCatalogue(LrEngine *engine, LrTime now, LrCatalogue *catalogue)
+{
+    build_view(engine, catalogue, now);
+}
+
 LrView *
 LrEngine_View(LrEngine *engine)
 {
@@ -209,6 +266,7 @@
         LrRouter_MarkGone(engine->router, target, query->map->version, now);
         break;
     case LR_REPLY_REJECTED:
+    case LR_REPLY_FAILED:
         break;
     default:
         LrCounters_Add(engine->config.counters, LR_COUNT_TARGET_FAILURES, 1);
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -18,6 +18,9 @@
     [LR_MSG_DELTA] = &LrDeltaMsg_Spec,
     [LR_MSG_CALL] = &LrCallMsg_Spec,
     [LR_MSG_CALL_ANSWER] = &LrCallAnswerMsg_Spec,
+    [LR_MSG_RELAY] = &LrRelayMsg_Spec,
+    [LR_MSG_RELAY_ANSWER] = &LrRelayAnswerMsg_Spec,
+    [LR_MSG_RELAY_CANCEL] = &LrRelayCancelMsg_Spec,
 };
 
 typedef struct {
@@ -165,6 +168,15 @@
     case LR_MSG_CALL_ANSWER:
         LrKeyed_OnAnswer(daemon, message);
         break;
+    case LR_MSG_RELAY:
+        LrRelay_OnRelay(daemon->relay, message);
+        break;
+    case LR_MSG_RELAY_ANSWER:
+        LrRelay_OnAnswer(daemon->relay, message);
+        break;
+    case LR_MSG_RELAY_CANCEL:
+        LrRelay_OnCancel(daemon->relay, message);
+        break;
     default:
         break;
     }
@@ -198,7 +210,12 @@
 static void
 on_lost(void *data, LrStr address)
 {
-    LrKeyed_LinkLost(data, address);
+    LrDaemon *daemon = data;
+    LrKeyed_LinkLost(daemon, address);
+    LrRelay_LinkLost(daemon->relay, address);
+    if (!daemon->closing) {
+        LrDaemon_Settle(daemon);
+    }
 }
 
 /* A few daemons a zone read the service; the others do when they have heard
@@ -213,6 +230,35 @@
     LrWatch_SetReading(daemon->watch, reader || alone || !known);
 }
 
+static int
+by_name(gconstpointer a, gconstpointer b)
+{
+    return LrStr_Compare(((const LrPeerSpec *)a)->name,
+                         ((const LrPeerSpec *)b)->name);
+}
+
+/* Tells the engine the daemons that can take relayed work. */
+static void
+set_peers(LrDaemon *daemon, LrTime now)
+{
+    GArray *peers = g_array_new(FALSE, FALSE, sizeof(LrPeerSpec));
+    for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
+        const LrMember *member = LrMembers_Get(daemon->members, i);
+        if (member->state == LR_MEMBER_ALIVE ||
+            member->state == LR_MEMBER_SUSPECT) {
+            LrPeerSpec peer = {.name = member->name,
+                               .zone = member->zone,
+                               .address = member->address};
+            g_array_append_val(peers, peer);
+        }
+    }
+    g_array_sort(peers, by_name);
+    LrEngine_SetPeers(daemon->engine, now, daemon->settings.name,
+                      (const LrPeerSpec *)(void *)peers->data, peers->len,
+                      (uint32_t)daemon->settings.target_links);
+    g_array_unref(peers);
+}
+
 static void
 on_interval(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -225,6 +271,8 @@
     unsigned count;
     unsigned rank = LrMembers_ListRank(daemon->members, &count);
     LrEngine_SetShare(daemon->engine, now, rank, count);
+    set_peers(daemon, now);
+    LrDaemon_Settle(daemon);
 }
 
 static LrMembers *
@@ -275,6 +323,7 @@
 void
 LrFleet_Stop(LrDaemon *daemon)
 {
+    daemon->closing = true;
     ev_timer_stop(daemon->loop, &daemon->probe_timer);
     LrPeers_Free(daemon->peers);
     daemon->peers = NULL;
--- a/liblavenderrail/gather.c
+++ b/liblavenderrail/gather.c
@@ -1,19 +1,39 @@
 /* The parts of a query, and the answer made of them. */
 #include "private.h"
 
-void
+/* First of the query's groups in the map; n_groups when there is none. */
+static size_t
+first_group(const LrQuery *query, const LrMap *map)
+{
+    if (query->shard.len == 0) {
+        return query->call ? query->route_hash % map->n_groups : 0;
+    }
+    size_t i = 0;
+    while (i < map->n_groups &&
+           !LrStr_Equal(map->groups[i].name, query->shard)) {
+        i++;
+    }
+    bool served = i < map->n_groups && !map->groups[i].relayed;
+    return served ? i : map->n_groups;
+}
+
+bool
 LrGather_Init(LrQuery *query, LrMap *map)
 {
+    size_t first = first_group(query, map);
+    if (first == map->n_groups) {
+        return false;
+    }
     query->map = map;
     query->n_parts = query->call ? 1 : map->n_groups;
     query->n_open = query->n_parts;
     query->n_answered = 0;
     query->parts = g_new0(LrPart, query->n_parts);
-    size_t first = query->call ? query->route_hash % map->n_groups : 0;
     for (size_t i = 0; i < query->n_parts; i++) {
         query->parts[i].query = query;
         query->parts[i].group = &map->groups[first + i];
     }
+    return true;
 }
 
 void
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -56,6 +56,7 @@
     "connect_failed",
     "broken",
     "timeout",
+    "failed",
     NULL,
 };
 
@@ -455,6 +456,13 @@
      .min = 10,
      .max = 60000,
      .fallback = 500},
+    {.name = "target_links",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrSettings, target_links),
+     .hint = "connections that this daemon may use to one target",
+     .min = 1,
+     .max = 1000,
+     .fallback = 3},
     {.name = "seed",
      .kind = LR_FIELD_INT,
      .offset = offsetof(LrSettings, seed),
@@ -798,6 +806,162 @@
     .n_fields = G_N_ELEMENTS(LrCallAnswerMsg_Fields),
 };
 
+static const LrFieldSpec LrPartMsg_Fields[] = {
+    {.name = "attempt",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrPartMsg, attempt),
+     .hint = "attempt of the sender",
+     .required = true},
+    {.name = "shard",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrPartMsg, shard),
+     .hint = "shard name",
+     .fallback_str = ""},
+};
+
+const LrObjectSpec LrPartMsg_Spec = {
+    .name = "LrPartMsg",
+    .size = sizeof(LrPartMsg),
+    .tag = 0,
+    .fields = LrPartMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrPartMsg_Fields),
+};
+
+static const LrFieldSpec LrRelayMsg_Fields[] = {
+    {.name = "entry",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrRelayMsg, entry),
+     .hint = "catalogue entry",
+     .required = true},
+    {.name = "key",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrRelayMsg, key),
+     .hint = "idempotency key",
+     .fallback_str = ""},
+    {.name = "version",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrRelayMsg, version),
+     .hint = "index version",
+     .required = true,
+     .min = 1,
+     .max = 9007199254740991},
+    {.name = "deadline_ms",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrRelayMsg, deadline_ms),
+     .hint = "time left, milliseconds",
+     .required = true,
+     .min = 0,
+     .max = 600000},
+    {.name = "body",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrRelayMsg, body),
+     .hint = "request body",
+     .fallback_str = ""},
+    {.name = "reply_to",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrRelayMsg, reply_to),
+     .hint = "peer IP:port of the sender",
+     .required = true},
+    {.name = "parts",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrRelayMsg, parts),
+     .hint = "the shards",
+     .count_offset = offsetof(LrRelayMsg, n_parts),
+     .object = &LrPartMsg_Spec},
+};
+
+const LrObjectSpec LrRelayMsg_Spec = {
+    .name = "LrRelayMsg",
+    .size = sizeof(LrRelayMsg),
+    .tag = 7,
+    .fields = LrRelayMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrRelayMsg_Fields),
+};
+
+static const LrFieldSpec LrPartAnswerMsg_Fields[] = {
+    {.name = "attempt",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrPartAnswerMsg, attempt),
+     .hint = "attempt of the asker",
+     .required = true},
+    {.name = "status",
+     .kind = LR_FIELD_ENUM,
+     .offset = offsetof(LrPartAnswerMsg, status),
+     .hint = "what became of it",
+     .choices = LrReplyStatus_Names,
+     .fallback = 8},
+    {.name = "reason",
+     .kind = LR_FIELD_ENUM,
+     .offset = offsetof(LrPartAnswerMsg, reason),
+     .hint = "why it failed",
+     .choices = LrReason_Names,
+     .fallback = 0},
+    {.name = "version",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrPartAnswerMsg, version),
+     .hint = "index version",
+     .min = 0,
+     .max = 9007199254740991,
+     .fallback = 0},
+    {.name = "target",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrPartAnswerMsg, target),
+     .hint = "target that answered",
+     .fallback_str = ""},
+    {.name = "body",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrPartAnswerMsg, body),
+     .hint = "JSON answer of the shard",
+     .fallback_str = ""},
+};
+
+const LrObjectSpec LrPartAnswerMsg_Spec = {
+    .name = "LrPartAnswerMsg",
+    .size = sizeof(LrPartAnswerMsg),
+    .tag = 0,
+    .fields = LrPartAnswerMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrPartAnswerMsg_Fields),
+};
+
+static const LrFieldSpec LrRelayAnswerMsg_Fields[] = {
+    {.name = "parts",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrRelayAnswerMsg, parts),
+     .hint = "the results",
+     .count_offset = offsetof(LrRelayAnswerMsg, n_parts),
+     .object = &LrPartAnswerMsg_Spec},
+};
+
+const LrObjectSpec LrRelayAnswerMsg_Spec = {
+    .name = "LrRelayAnswerMsg",
+    .size = sizeof(LrRelayAnswerMsg),
+    .tag = 8,
+    .fields = LrRelayAnswerMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrRelayAnswerMsg_Fields),
+};
+
+static const LrFieldSpec LrRelayCancelMsg_Fields[] = {
+    {.name = "reply_to",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrRelayCancelMsg, reply_to),
+     .hint = "peer IP:port of the asker",
+     .required = true},
+    {.name = "parts",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrRelayCancelMsg, parts),
+     .hint = "the shards",
+     .count_offset = offsetof(LrRelayCancelMsg, n_parts),
+     .object = &LrPartMsg_Spec},
+};
+
+const LrObjectSpec LrRelayCancelMsg_Spec = {
+    .name = "LrRelayCancelMsg",
+    .size = sizeof(LrRelayCancelMsg),
+    .tag = 9,
+    .fields = LrRelayCancelMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrRelayCancelMsg_Fields),
+};
+
 const char *const LrCounterId_Names[] = {
     "queries",
     "complete",
@@ -830,6 +994,8 @@
     "members_suspected",
     "members_refuted",
     "catalogue_deltas",
+    "relayed",
+    "relay_served",
 };
 
 const char *const LrCounterId_Help[] = {
@@ -864,6 +1030,8 @@
     "Peers that this daemon began to suspect.",
     "Suspicions of this daemon that it refuted.",
     "Catalogue deltas sent to peers.",
+    "Shards asked of another daemon.",
+    "Shards served for another daemon.",
 };
 
 /* clang-format on */
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -66,6 +66,7 @@
     LR_REPLY_CONNECT_FAILED,
     LR_REPLY_BROKEN,
     LR_REPLY_TIMEOUT,
+    LR_REPLY_FAILED,
     LR_REPLY_COUNT
 } LrReplyStatus;
 extern const char *const LrReplyStatus_Names[];
@@ -232,6 +233,8 @@
     double retry_share;
     /* interval of peer probes */
     int64_t probe_ms;
+    /* connections that this daemon may use to one target */
+    int64_t target_links;
     /* random seed; 0 takes one from the system */
     int64_t seed;
     /* syslog priority from 0 (emerg) to 7 (debug) */
@@ -367,6 +370,73 @@
 extern const LrObjectSpec LrCallAnswerMsg_Spec;
 #define LR_MSG_CALL_ANSWER 5
 
+/* One shard of a relayed request. */
+typedef struct {
+    /* attempt of the sender */
+    int64_t attempt;
+    /* shard name */
+    LrStr shard;
+} LrPartMsg;
+extern const LrObjectSpec LrPartMsg_Spec;
+
+/* Shards that a daemon asks another one to query. */
+typedef struct {
+    /* catalogue entry */
+    LrStr entry;
+    /* idempotency key */
+    LrStr key;
+    /* index version */
+    int64_t version;
+    /* time left, milliseconds */
+    int64_t deadline_ms;
+    /* request body */
+    LrStr body;
+    /* peer IP:port of the sender */
+    LrStr reply_to;
+    /* the shards */
+    LrPartMsg *parts;
+    size_t n_parts;
+} LrRelayMsg;
+extern const LrObjectSpec LrRelayMsg_Spec;
+#define LR_MSG_RELAY 7
+
+/* Result of one relayed shard. */
+typedef struct {
+    /* attempt of the asker */
+    int64_t attempt;
+    /* what became of it */
+    LrReplyStatus status;
+    /* why it failed */
+    LrReason reason;
+    /* index version */
+    int64_t version;
+    /* target that answered */
+    LrStr target;
+    /* JSON answer of the shard */
+    LrStr body;
+} LrPartAnswerMsg;
+extern const LrObjectSpec LrPartAnswerMsg_Spec;
+
+/* Results of relayed shards. */
+typedef struct {
+    /* the results */
+    LrPartAnswerMsg *parts;
+    size_t n_parts;
+} LrRelayAnswerMsg;
+extern const LrObjectSpec LrRelayAnswerMsg_Spec;
+#define LR_MSG_RELAY_ANSWER 8
+
+/* Relayed shards that are not wanted any more. */
+typedef struct {
+    /* peer IP:port of the asker */
+    LrStr reply_to;
+    /* the shards */
+    LrPartMsg *parts;
+    size_t n_parts;
+} LrRelayCancelMsg;
+extern const LrObjectSpec LrRelayCancelMsg_Spec;
+#define LR_MSG_RELAY_CANCEL 9
+
 /* Counters of a daemon. */
 typedef enum {
     LR_COUNT_QUERIES,
@@ -400,6 +470,8 @@
     LR_COUNT_MEMBERS_SUSPECTED,
     LR_COUNT_MEMBERS_REFUTED,
     LR_COUNT_CATALOGUE_DELTAS,
+    LR_COUNT_RELAYED,
+    LR_COUNT_RELAY_SERVED,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/hedge.c
+++ b/liblavenderrail/hedge.c
@@ -9,6 +9,9 @@
 #define QUANTILE_EMPTY 0.985
 /* Time between the hedges of a part, as a share of the first delay. */
 #define STEP_SHARE 0.3
+/* A daemon that relays hedges its shards itself; only when it is lost or
+ * very late is another one asked. */
+#define RELAY_PATIENCE 2.5
 /* A hedge that found no room is tried again after this share of it. */
 #define AGAIN_SHARE 0.25
 
@@ -30,6 +33,9 @@
 hedge_due(const LrPart *part, LrTime slow)
 {
     double delay = (double)slow * (1 + STEP_SHARE * part->n_hedges);
+    if (part->group->relayed) {
+        delay *= RELAY_PATIENCE;
+    }
     return part->first_sent_at + (LrTime)delay;
 }
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -399,6 +399,8 @@
     LrTime gone_until;
     GPtrArray *groups;
     bool dirty;
+    /* A daemon that stands for searchers; its address begins with '@'. */
+    bool relay;
 };
 
 typedef struct {
@@ -468,6 +470,32 @@
 /* Forgets reports and ejections that a gap in the clock made worthless. */
 void LrRouter_OnLateWakeup(LrRouter *router, LrTime now);
 
+/* subset.c: which daemons talk to which shards. */
+typedef struct {
+    LrStr name;
+    LrStr zone;
+    /* Peer IP:port. */
+    LrStr address;
+} LrPeerSpec;
+
+/* Number of daemons that may connect to a target with so many connections,
+ * when each uses so many links. */
+size_t LrSubset_Size(uint32_t connections, uint32_t links, size_t n_daemons);
+/* Bundle that a group of a map belongs to. */
+size_t LrSubset_Bundle(size_t group);
+/* Fills chosen with the indices of size daemons for a bundle. */
+void LrSubset_Choose(const LrPeerSpec *daemons, size_t n_daemons,
+                     LrStr service, const LrMapSpec *map, size_t bundle,
+                     size_t size, size_t *chosen);
+
+/* The fleet as a view sees it; without daemons every shard is direct. */
+typedef struct {
+    LrStr self;
+    const LrPeerSpec *daemons;
+    size_t n_daemons;
+    uint32_t links;
+} LrTopology;
+
 /* view.c: the catalogue in force, resolved to targets. */
 typedef struct LrService LrService;
 typedef struct LrMap LrMap;
@@ -477,8 +505,10 @@
 struct LrGroup {
     LrStr name;
     LrMap *map;
+    /* Searchers; where relayed, daemons that talk to them. */
     LrTarget **replicas;
     size_t n_replicas;
+    bool relayed;
     struct LrPartList waiting[LR_CLASS_COUNT];
     uint32_t n_waiting;
 };
@@ -532,6 +562,7 @@
     LrEntry *entries;
     size_t n_entries;
     GHashTable *entry_by_name;
+    size_t n_relayed;
     int refs;
 };
 
@@ -541,7 +572,9 @@
 LrStates *LrStates_New(void);
 void LrStates_Free(LrStates *states);
 LrView *LrView_New(LrCatalogue *catalogue, LrRouter *router, LrStates *states,
-                   LrTime now);
+                   const LrTopology *topology, LrTime now);
+/* Shards that the view reaches through other daemons. */
+size_t LrView_Relayed(const LrView *view);
 LrView *LrView_Ref(LrView *view);
 void LrView_Unref(LrView *view);
 LrEntry *LrView_LookupEntry(LrView *view, LrStr name);
@@ -551,6 +584,7 @@
  * the fewest groups lack. skip: a version not to be chosen, 0 for none. */
 LrMap *LrView_PickMap(const LrService *service, LrSnapshotPolicy policy,
                       int64_t skip, LrTime now);
+LrMap *LrView_LookupMap(const LrService *service, int64_t version);
 
 /* share.c: one daemon's part of a limit that holds over the fleet. */
 typedef struct {
@@ -728,6 +762,10 @@
     LrStr routing_key;
     LrStr key;
     LrTime timeout;
+    /* One shard of a version, asked by another daemon, which admitted the
+     * request. It is never relayed again. */
+    LrStr shard;
+    int64_t version;
     void *data;
 } LrRequest;
 
@@ -754,6 +792,8 @@
 
 typedef struct {
     LrReplyStatus status;
+    /* Why, with status failed. */
+    LrReason reason;
     int64_t version;
     /* Index versions that the target serves; 0 when not said. */
     int64_t oldest;
@@ -776,6 +816,7 @@
     uint64_t attempt;
     LrTarget *target;
     LrStr service;
+    LrStr entry;
     LrStr shard;
     LrStr key;
     int64_t version;
@@ -790,6 +831,11 @@
 /* Puts a catalogue in force; running queries end on the former one. */
 void LrEngine_SetCatalogue(LrEngine *engine, LrTime now,
                            LrCatalogue *catalogue);
+/* Tells the daemons of the fleet, this one included, in order of their
+ * names; the specs are copied. */
+void LrEngine_SetPeers(LrEngine *engine, LrTime now, LrStr self,
+                       const LrPeerSpec *daemons, size_t n_daemons,
+                       uint32_t links);
 LrView *LrEngine_View(LrEngine *engine);
 LrRouter *LrEngine_Router(LrEngine *engine);
 LrQuarantine *LrEngine_Quarantine(LrEngine *engine);
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -73,6 +73,9 @@
     LrTime hedge_at;
     LrTimer timer;
     LrMap *map;
+    /* The only shard, and its version, when another daemon asks. */
+    LrStr shard;
+    int64_t version;
     int64_t skip_version;
     unsigned restarts;
     LrPart *parts;
@@ -112,6 +115,12 @@
     size_t running;
     bool stopping;
     LrShare share;
+    /* The fleet, of which the view chooses whom to relay to. */
+    LrStr self;
+    GArray *peers;
+    LrArena *peers_arena;
+    uint64_t peers_digest;
+    uint32_t links;
 };
 
 /* attempt.c */
@@ -155,7 +164,9 @@
 void LrHedge_Run(LrEngine *engine, LrQuery *query, LrTime now);
 
 /* gather.c */
-void LrGather_Init(LrQuery *query, LrMap *map);
+/* False when the map lacks the only shard that is asked, or when this
+ * daemon would have to relay it once more. */
+bool LrGather_Init(LrQuery *query, LrMap *map);
 void LrGather_Clear(LrEngine *engine, LrQuery *query);
 void LrGather_Answered(LrPart *part, LrTarget *target, GBytes *body);
 void LrGather_Missing(LrPart *part, LrReason reason);
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -20,6 +20,7 @@
     }
     LrView_Unref(query->view);
     g_free((char *)query->key.ptr);
+    g_free((char *)query->shard.ptr);
     g_free(query);
 }
 
@@ -62,14 +63,12 @@
 static bool
 resolve(LrQuery *query, LrTime now)
 {
-    LrMap *map =
-        LrView_PickMap(query->entry->service, query->entry->spec->snapshot,
-                       query->skip_version, now);
-    if (!map) {
-        return false;
-    }
-    LrGather_Init(query, map);
-    return true;
+    const LrService *service = query->entry->service;
+    LrMap *map = query->version > 0
+                     ? LrView_LookupMap(service, query->version)
+                     : LrView_PickMap(service, query->entry->spec->snapshot,
+                                      query->skip_version, now);
+    return map && LrGather_Init(query, map);
 }
 
 static void
@@ -86,7 +85,8 @@
 static bool
 restart(LrEngine *engine, LrQuery *query, LrTime now)
 {
-    if (query->restarts >= MAX_RESTARTS || now >= query->hard_at) {
+    if (query->restarts >= MAX_RESTARTS || now >= query->hard_at ||
+        query->version > 0) {
         return false;
     }
     LrMap *map =
@@ -167,6 +167,9 @@
     query->id = ++engine->next_id;
     query->engine = engine;
     query->call = request->call;
+    query->version = request->version;
+    query->shard =
+        (LrStr){.ptr = LrStr_Dup(request->shard), .len = request->shard.len};
     query->data = request->data;
     query->body = request->body ? g_bytes_ref(request->body) : NULL;
     query->key =
@@ -351,6 +354,7 @@
     [LR_REPLY_CONNECT_FAILED] = LR_REASON_TARGET_FAILED,
     [LR_REPLY_BROKEN] = LR_REASON_TARGET_FAILED,
     [LR_REPLY_TIMEOUT] = LR_REASON_DEADLINE,
+    [LR_REPLY_FAILED] = LR_REASON_TARGET_FAILED,
 };
 
 /* Whether every replica has said that the version is gone. */
@@ -374,6 +378,9 @@
 {
     LrQuery *query = part->query;
     part->reason = STATUS_REASONS[reply->status];
+    if (reply->status == LR_REPLY_FAILED && reply->reason) {
+        part->reason = reply->reason;
+    }
     if (proves_not_run(reply->status)) {
         query->n_unproven--;
     }
--- a/liblavenderrail/record.c
+++ b/liblavenderrail/record.c
@@ -421,6 +421,19 @@
     }
 }
 
+/* Exact value of a number that is known to be whole. */
+static int64_t
+object_integer(const msgpack_object *object, double value)
+{
+    if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return (int64_t)MIN(object->via.u64, (uint64_t)INT64_MAX);
+    }
+    if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        return object->via.i64;
+    }
+    return (int64_t)CLAMP(value, -9e15, 9e15);
+}
+
 static bool unpack_record(const LrObjectSpec *spec,
                           const msgpack_object *object, void *out,
                           LrArena *arena);
@@ -483,7 +496,12 @@
     if (!object_number(object, &value) || !number_valid(field, value)) {
         return false;
     }
-    set_number(field, out, value);
+    if (field->kind == LR_FIELD_INT) {
+        *(int64_t *)field_at(field, out) = object_integer(object, value);
+    }
+    else {
+        set_number(field, out, value);
+    }
     return true;
 }
 
--- /dev/null
+++ b/liblavenderrail/relay.c
@@ -0,0 +1,356 @@
+/* Shards asked of other daemons, and served for them. What goes to the same
+ * daemon within one event travels in one message. */
+#include "daemon.h"
+
+#include <string.h>
+
+/* Kept back from the deadline for the way to the peer and back. */
+#define TRANSIT_MARGIN (2 * LR_MILLISECOND)
+
+/* A shard that this daemon asked of a peer. */
+typedef struct {
+    uint64_t attempt;
+    char *address;
+} Asked;
+
+/* A batch for one peer that is still being filled. */
+typedef struct {
+    char *address;
+    LrRelayMsg head;
+    GBytes *body;
+    GArray *parts;
+    GArray *cancels;
+    GPtrArray *answers;
+    LrArena *arena;
+} Batch;
+
+struct LrRelay {
+    LrDaemon *daemon;
+    GHashTable *asked;
+    GHashTable *served;
+    GPtrArray *batches;
+};
+
+static void
+free_asked(gpointer data)
+{
+    Asked *asked = data;
+    g_free(asked->address);
+    g_free(asked);
+}
+
+static void
+free_batch(gpointer data)
+{
+    Batch *batch = data;
+    g_free(batch->address);
+    if (batch->body) {
+        g_bytes_unref(batch->body);
+    }
+    g_array_unref(batch->parts);
+    g_array_unref(batch->cancels);
+    g_ptr_array_unref(batch->answers);
+    LrArena_Free(batch->arena);
+    g_free(batch);
+}
+
+LrRelay *
+LrRelay_New(LrDaemon *daemon)
+{
+    LrRelay *relay = g_new0(LrRelay, 1);
+    relay->daemon = daemon;
+    relay->asked =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_asked);
+    relay->served =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    relay->batches = g_ptr_array_new_with_free_func(free_batch);
+    return relay;
+}
+
+void
+LrRelay_Free(LrRelay *relay)
+{
+    if (!relay) {
+        return;
+    }
+    g_hash_table_unref(relay->asked);
+    g_hash_table_unref(relay->served);
+    g_ptr_array_unref(relay->batches);
+    g_free(relay);
+}
+
+/* The batch for an address. A batch of shards holds one request only: its
+ * body tells them apart; NULL stands for answers and cancellations. */
+static Batch *
+find_batch(LrRelay *relay, LrStr address, GBytes *body)
+{
+    for (guint i = 0; i < relay->batches->len; i++) {
+        Batch *batch = relay->batches->pdata[i];
+        if (LrStr_EqualC(address, batch->address) && batch->body == body) {
+            return batch;
+        }
+    }
+    Batch *batch = g_new0(Batch, 1);
+    batch->address = LrStr_Dup(address);
+    batch->body = body ? g_bytes_ref(body) : NULL;
+    batch->parts = g_array_new(FALSE, FALSE, sizeof(LrPartMsg));
+    batch->cancels = g_array_new(FALSE, FALSE, sizeof(LrPartMsg));
+    batch->answers = g_ptr_array_new();
+    batch->arena = LrArena_New();
+    g_ptr_array_add(relay->batches, batch);
+    return batch;
+}
+
+/* Address of the daemon behind a relaying target. */
+static LrStr
+peer_address(LrStr address)
+{
+    return (LrStr){.ptr = address.ptr + 1, .len = address.len - 1};
+}
+
+void
+LrRelay_Send(LrRelay *relay, const LrAction *action)
+{
+    LrDaemon *daemon = relay->daemon;
+    LrStr address = peer_address(action->target->address);
+    Batch *batch = find_batch(relay, address, action->body);
+    LrTime left = action->deadline - LrLoop_Now() - TRANSIT_MARGIN;
+    batch->head = (LrRelayMsg){
+        .entry = LrArena_Copy(batch->arena, action->entry),
+        .key = LrArena_Copy(batch->arena, action->key),
+        .version = action->version,
+        .deadline_ms = MAX(1, left / LR_MILLISECOND),
+    };
+    LrPartMsg part = {
+        .attempt = (int64_t)action->attempt,
+        .shard = LrArena_Copy(batch->arena, action->shard),
+    };
+    g_array_append_val(batch->parts, part);
+    Asked *asked = g_new0(Asked, 1);
+    asked->attempt = action->attempt;
+    asked->address = LrStr_Dup(address);
+    g_hash_table_replace(relay->asked, &asked->attempt, asked);
+    LrCounters_Add(daemon->counters, LR_COUNT_RELAYED, 1);
+}
+
+bool
+LrRelay_Cancel(LrRelay *relay, uint64_t attempt)
+{
+    Asked *asked = g_hash_table_lookup(relay->asked, &attempt);
+    if (!asked) {
+        return false;
+    }
+    Batch *batch = find_batch(relay, LrStr_FromC(asked->address), NULL);
+    LrPartMsg part = {.attempt = (int64_t)attempt};
+    g_array_append_val(batch->cancels, part);
+    g_hash_table_remove(relay->asked, &attempt);
+    return true;
+}
+
+static void
+fail_parts(LrRelay *relay, const GArray *parts)
+{
+    LrReply reply = {.status = LR_REPLY_CONNECT_FAILED};
+    for (guint i = 0; i < parts->len; i++) {
+        const LrPartMsg *part = &g_array_index(parts, LrPartMsg, i);
+        uint64_t attempt = (uint64_t)part->attempt;
+        g_hash_table_remove(relay->asked, &attempt);
+        LrEngine_OnReply(relay->daemon->engine, LrLoop_Now(), attempt, &reply);
+    }
+}
+
+static void
+send_parts(LrRelay *relay, Batch *batch)
+{
+    LrDaemon *daemon = relay->daemon;
+    batch->head.body = LrStr_FromBytes(batch->body);
+    batch->head.reply_to = daemon->settings.peer_listen;
+    batch->head.parts = (LrPartMsg *)(void *)batch->parts->data;
+    batch->head.n_parts = batch->parts->len;
+    if (!LrPeers_Send(daemon->peers, LrStr_FromC(batch->address),
+                      &LrRelayMsg_Spec, &batch->head)) {
+        fail_parts(relay, batch->parts);
+    }
+}
+
+static void
+send_cancels(LrRelay *relay, const Batch *batch)
+{
+    LrRelayCancelMsg message = {
+        .reply_to = relay->daemon->settings.peer_listen,
+        .parts = (LrPartMsg *)(void *)batch->cancels->data,
+        .n_parts = batch->cancels->len,
+    };
+    LrPeers_Send(relay->daemon->peers, LrStr_FromC(batch->address),
+                 &LrRelayCancelMsg_Spec, &message);
+}
+
+static void
+send_answers(LrRelay *relay, const Batch *batch)
+{
+    LrPartAnswerMsg *rows = LrArena_Alloc(
+        batch->arena, batch->answers->len * sizeof(LrPartAnswerMsg));
+    for (guint i = 0; i < batch->answers->len; i++) {
+        rows[i] = *(LrPartAnswerMsg *)batch->answers->pdata[i];
+    }
+    LrRelayAnswerMsg message = {.parts = rows, .n_parts = batch->answers->len};
+    LrPeers_Send(relay->daemon->peers, LrStr_FromC(batch->address),
+                 &LrRelayAnswerMsg_Spec, &message);
+}
+
+bool
+LrRelay_Flush(LrRelay *relay)
+{
+    if (relay->batches->len == 0) {
+        return false;
+    }
+    GPtrArray *batches = relay->batches;
+    relay->batches = g_ptr_array_new_with_free_func(free_batch);
+    for (guint i = 0; i < batches->len; i++) {
+        Batch *batch = batches->pdata[i];
+        if (batch->parts->len > 0) {
+            send_parts(relay, batch);
+        }
+        if (batch->cancels->len > 0) {
+            send_cancels(relay, batch);
+        }
+        if (batch->answers->len > 0) {
+            send_answers(relay, batch);
+        }
+    }
+    g_ptr_array_unref(batches);
+    return true;
+}
+
+static char *
+served_name(LrStr reply_to, int64_t attempt)
+{
+    return g_strdup_printf("%.*s/%" G_GINT64_FORMAT, (int)reply_to.len,
+                           reply_to.ptr, attempt);
+}
+
+static void
+serve_part(LrRelay *relay, const LrRelayMsg *message, const LrPartMsg *part,
+           GBytes *body)
+{
+    LrDaemon *daemon = relay->daemon;
+    LrPending *pending = g_new0(LrPending, 1);
+    pending->daemon = daemon;
+    pending->relayed = true;
+    pending->reply_to = LrStr_Dup(message->reply_to);
+    pending->remote_id = part->attempt;
+    char *name = served_name(message->reply_to, part->attempt);
+    g_hash_table_replace(relay->served, name, pending);
+    LrRequest request = {
+        .entry = message->entry,
+        .body = body,
+        .call = true,
+        .shard = part->shard,
+        .version = message->version,
+        .key = message->key,
+        .timeout = message->deadline_ms * LR_MILLISECOND,
+        .data = pending,
+    };
+    LrCounters_Add(daemon->counters, LR_COUNT_RELAY_SERVED, 1);
+    pending->query = LrEngine_Submit(daemon->engine, LrLoop_Now(), &request);
+}
+
+void
+LrRelay_OnRelay(LrRelay *relay, const LrRelayMsg *message)
+{
+    GBytes *body = g_bytes_new(message->body.ptr, message->body.len);
+    for (size_t i = 0; i < message->n_parts; i++) {
+        serve_part(relay, message, &message->parts[i], body);
+    }
+    g_bytes_unref(body);
+}
+
+void
+LrRelay_OnCancel(LrRelay *relay, const LrRelayCancelMsg *message)
+{
+    for (size_t i = 0; i < message->n_parts; i++) {
+        g_autofree char *name =
+            served_name(message->reply_to, message->parts[i].attempt);
+        LrPending *pending = g_hash_table_lookup(relay->served, name);
+        if (!pending) {
+            continue;
+        }
+        LrEngine_Cancel(relay->daemon->engine, LrLoop_Now(), pending->query);
+        g_hash_table_remove(relay->served, name);
+        g_free(pending->reply_to);
+        g_free(pending);
+    }
+}
+
+/* What the asker may take from an outcome: not_run is proven here. */
+static LrReplyStatus
+status_of(const LrAnswer *answer)
+{
+    if (answer->outcome == LR_OUTCOME_COMPLETE) {
+        return LR_REPLY_OK;
+    }
+    if (answer->reason == LR_REASON_VERSION_GONE) {
+        return LR_REPLY_VERSION_GONE;
+    }
+    return answer->outcome == LR_OUTCOME_NOT_RUN ? LR_REPLY_SHED
+                                                 : LR_REPLY_FAILED;
+}
+
+void
+LrRelay_Answered(LrRelay *relay, LrPending *pending, const LrAnswer *answer)
+{
+    LrStr address = LrStr_FromC(pending->reply_to);
+    Batch *batch = find_batch(relay, address, NULL);
+    LrPartAnswerMsg *row =
+        LrArena_Alloc(batch->arena, sizeof(LrPartAnswerMsg));
+    row->attempt = pending->remote_id;
+    row->status = status_of(answer);
+    row->reason = answer->reason;
+    row->version = answer->version;
+    if (answer->outcome == LR_OUTCOME_COMPLETE) {
+        row->target = LrArena_Copy(batch->arena, answer->parts[0].target);
+        row->body =
+            LrArena_Copy(batch->arena, LrStr_FromBytes(answer->parts[0].body));
+    }
+    g_ptr_array_add(batch->answers, row);
+    g_autofree char *name = served_name(address, pending->remote_id);
+    g_hash_table_remove(relay->served, name);
+    g_free(pending->reply_to);
+    g_free(pending);
+}
+
+void
+LrRelay_OnAnswer(LrRelay *relay, const LrRelayAnswerMsg *message)
+{
+    for (size_t i = 0; i < message->n_parts; i++) {
+        const LrPartAnswerMsg *part = &message->parts[i];
+        uint64_t attempt = (uint64_t)part->attempt;
+        GBytes *body = g_bytes_new(part->body.ptr, part->body.len);
+        LrReply reply = {
+            .status = part->status,
+            .reason = part->reason,
+            .version = part->version,
+            .body = body,
+        };
+        g_hash_table_remove(relay->asked, &attempt);
+        LrEngine_OnReply(relay->daemon->engine, LrLoop_Now(), attempt, &reply);
+        g_bytes_unref(body);
+    }
+}
+
+void
+LrRelay_LinkLost(LrRelay *relay, LrStr address)
+{
+    GList *rows = g_hash_table_get_values(relay->asked);
+    LrReply reply = {.status = LR_REPLY_TIMEOUT};
+    for (GList *at = rows; at; at = at->next) {
+        Asked *asked = at->data;
+        if (!LrStr_EqualC(address, asked->address)) {
+            continue;
+        }
+        uint64_t attempt = asked->attempt;
+        g_hash_table_remove(relay->asked, &attempt);
+        LrEngine_OnReply(relay->daemon->engine, LrLoop_Now(), attempt, &reply);
+    }
+    g_list_free(rows);
+}
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -408,7 +408,9 @@
         target->report_queue = queue;
         target->report_at = now;
     }
-    LrLimit_OnReply(&target->limit, ratio, queue, target->in_flight);
+    if (!target->relay) {
+        LrLimit_OnReply(&target->limit, ratio, queue, target->in_flight);
+    }
 }
 
 void
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -73,35 +73,130 @@
     return state;
 }
 
+/* Requests that one daemon may have under way at another. */
+enum { RELAY_LIMIT = 4096 };
+
 static void
-build_group(LrView *view, LrGroup *group, const LrGroupSpec *spec,
-            uint32_t connections, LrTime now)
+init_group(LrGroup *group, LrMap *map, LrStr name, size_t n_replicas)
 {
-    group->name = spec->name;
-    group->n_replicas = spec->n_replicas;
-    group->replicas = g_new0(LrTarget *, spec->n_replicas);
+    group->name = name;
+    group->map = map;
+    group->n_replicas = n_replicas;
+    group->replicas = g_new0(LrTarget *, n_replicas);
     for (size_t i = 0; i < LR_CLASS_COUNT; i++) {
         TAILQ_INIT(&group->waiting[i]);
     }
+}
+
+static void
+set_replica(LrGroup *group, size_t i, LrTarget *target)
+{
+    group->replicas[i] = target;
+    g_ptr_array_add(target->groups, group);
+}
+
+static void
+build_direct(LrView *view, LrGroup *group, const LrGroupSpec *spec,
+             uint32_t connections, LrTime now)
+{
     for (size_t i = 0; i < spec->n_replicas; i++) {
-        LrTarget *target =
-            LrRouter_Hold(view->router, &spec->replicas[i], connections, now);
-        group->replicas[i] = target;
-        g_ptr_array_add(target->groups, group);
+        set_replica(
+            group, i,
+            LrRouter_Hold(view->router, &spec->replicas[i], connections, now));
+    }
+}
+
+static LrTarget *
+hold_relay(LrView *view, const LrPeerSpec *peer, LrTime now)
+{
+    g_autofree char *address =
+        g_strdup_printf("@%.*s", (int)peer->address.len, peer->address.ptr);
+    LrTargetSpec spec = {.name = peer->name,
+                         .address = LrStr_FromC(address),
+                         .zone = peer->zone};
+    LrTarget *target = LrRouter_Hold(view->router, &spec, RELAY_LIMIT, now);
+    target->relay = true;
+    target->limit.value = RELAY_LIMIT;
+    return target;
+}
+
+/* The daemons chosen for the bundle of groups that is being built. */
+typedef struct {
+    const LrTopology *topology;
+    size_t *chosen;
+    size_t size;
+    bool direct;
+} Chosen;
+
+static bool
+is_among(const Chosen *chosen)
+{
+    const LrTopology *topology = chosen->topology;
+    for (size_t i = 0; i < chosen->size; i++) {
+        LrStr name = topology->daemons[chosen->chosen[i]].name;
+        if (LrStr_Equal(name, topology->self)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+choose_bundle(Chosen *chosen, LrStr service, const LrMapSpec *map,
+              size_t bundle)
+{
+    const LrTopology *topology = chosen->topology;
+    if (chosen->size == topology->n_daemons) {
+        chosen->direct = true;
+        return;
+    }
+    LrSubset_Choose(topology->daemons, topology->n_daemons, service, map,
+                    bundle, chosen->size, chosen->chosen);
+    chosen->direct = is_among(chosen);
+}
+
+static void
+build_relayed(LrView *view, LrGroup *group, const Chosen *chosen, LrTime now)
+{
+    const LrTopology *topology = chosen->topology;
+    group->relayed = true;
+    view->n_relayed++;
+    for (size_t i = 0; i < chosen->size; i++) {
+        const LrPeerSpec *peer = &topology->daemons[chosen->chosen[i]];
+        set_replica(group, i, hold_relay(view, peer, now));
     }
 }
 
 static void
 build_map(LrView *view, LrMap *map, const LrMapSpec *spec,
-          uint32_t connections, LrTime now)
+          const LrServiceSpec *service, const LrTopology *topology, LrTime now)
 {
+    uint32_t connections = (uint32_t)service->connections;
+    Chosen chosen = {
+        .topology = topology,
+        .size =
+            LrSubset_Size(connections, topology->links, topology->n_daemons),
+        .chosen = g_new0(size_t, topology->n_daemons + 1),
+    };
     map->version = spec->version;
     map->n_groups = spec->n_groups;
     map->groups = g_new0(LrGroup, spec->n_groups);
     for (size_t i = 0; i < spec->n_groups; i++) {
-        map->groups[i].map = map;
-        build_group(view, &map->groups[i], &spec->groups[i], connections, now);
+        const LrGroupSpec *group = &spec->groups[i];
+        size_t bundle = LrSubset_Bundle(i);
+        if (i == 0 || LrSubset_Bundle(i - 1) != bundle) {
+            choose_bundle(&chosen, service->name, spec, bundle);
+        }
+        init_group(&map->groups[i], map, group->name,
+                   chosen.direct ? group->n_replicas : chosen.size);
+        if (chosen.direct) {
+            build_direct(view, &map->groups[i], group, connections, now);
+        }
+        else {
+            build_relayed(view, &map->groups[i], &chosen, now);
+        }
     }
+    g_free(chosen.chosen);
 }
 
 static int
@@ -114,7 +209,7 @@
 
 static void
 build_service(LrView *view, LrService *service, LrServiceSpec *spec,
-              LrStates *states, LrTime now)
+              LrStates *states, const LrTopology *topology, LrTime now)
 {
     service->name = spec->name;
     service->state = service_state(states, spec->name);
@@ -127,8 +222,7 @@
     qsort(order, spec->n_maps, sizeof(LrMapSpec *), newest_first);
     for (size_t i = 0; i < spec->n_maps; i++) {
         service->maps[i].service = service;
-        build_map(view, &service->maps[i], order[i],
-                  (uint32_t)spec->connections, now);
+        build_map(view, &service->maps[i], order[i], spec, topology, now);
     }
 }
 
@@ -145,7 +239,7 @@
 
 LrView *
 LrView_New(LrCatalogue *catalogue, LrRouter *router, LrStates *states,
-           LrTime now)
+           const LrTopology *topology, LrTime now)
 {
     LrView *view = g_new0(LrView, 1);
     LrCatalogueSpec *spec = &catalogue->spec;
@@ -156,7 +250,7 @@
     view->services = g_new0(LrService, spec->n_services);
     for (size_t i = 0; i < spec->n_services; i++) {
         build_service(view, &view->services[i], &spec->services[i], states,
-                      now);
+                      topology, now);
     }
     view->n_entries = spec->n_entries;
     view->entries = g_new0(LrEntry, spec->n_entries);
@@ -214,6 +308,12 @@
     g_free(view);
 }
 
+size_t
+LrView_Relayed(const LrView *view)
+{
+    return view->n_relayed;
+}
+
 LrEntry *
 LrView_LookupEntry(LrView *view, LrStr name)
 {
@@ -274,3 +374,14 @@
     }
     return best;
 }
+
+LrMap *
+LrView_LookupMap(const LrService *service, int64_t version)
+{
+    for (size_t i = 0; i < service->n_maps; i++) {
+        if (service->maps[i].version == version) {
+            return &service->maps[i];
+        }
+    }
+    return NULL;
+}
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -133,7 +133,8 @@
 
 class Fleet {
   public:
-    Fleet(int base, int n_daemons) : base_(base)
+    Fleet(int base, int n_daemons, const char *links = "3")
+        : base_(base), links_(links)
     {
         write_catalogue(1, 500);
         std::vector<std::string> arguments = {LR_BIN "/lr-standin",
@@ -195,6 +196,8 @@
                                               "100",
                                               "--drain-wait-ms",
                                               "400",
+                                              "--target-links",
+                                              links_,
                                               "--log-level",
                                               "4",
                                               "--seed",
@@ -340,6 +343,7 @@
     }
 
     int base_;
+    std::string links_;
     std::string path_;
 };
 
--- /dev/null
+++ b/tests/test_subset.cc
@@ -0,0 +1,97 @@
+// Which daemons talk to which shards: bounded connections, equal choices,
+// little movement.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lavenderrail.h"
+
+class SubsetTest : public testing::Test {
+  protected:
+    static constexpr size_t N_DAEMONS = 650, N_GROUPS = 1366, N_ZONES = 10;
+
+    void
+    SetUp() override
+    {
+        for (size_t z = 0; z < N_ZONES; z++) {
+            zones.push_back("z" + std::to_string(z));
+        }
+        for (size_t i = 0; i < N_DAEMONS; i++) {
+            names.push_back("daemon-" + std::to_string(i));
+        }
+        for (size_t i = 0; i < N_DAEMONS; i++) {
+            daemons.push_back({str(names[i]), str(zones[i % N_ZONES]),
+                               LrStr_FromC("127.0.0.1:1")});
+        }
+        replicas.resize(N_GROUPS * 3);
+        groups.resize(N_GROUPS);
+        for (size_t g = 0; g < N_GROUPS; g++) {
+            for (size_t r = 0; r < 3; r++) {
+                replicas[g * 3 + r].zone =
+                    str(zones[(LrSubset_Bundle(g) + r) % N_ZONES]);
+            }
+            groups[g] = {LrStr_FromC("g"), &replicas[g * 3], 3};
+        }
+        map = {1, groups.data(), groups.size()};
+    }
+    static LrStr
+    str(const std::string &text)
+    {
+        return {text.data(), text.size()};
+    }
+    std::vector<size_t>
+    choose(size_t bundle, size_t n, size_t size)
+    {
+        std::vector<size_t> chosen(size);
+        LrSubset_Choose(daemons.data(), n, LrStr_FromC("s"), &map, bundle,
+                        size, chosen.data());
+        return chosen;
+    }
+
+    std::vector<std::string> zones, names;
+    std::vector<LrPeerSpec> daemons;
+    std::vector<LrTargetSpec> replicas;
+    std::vector<LrGroupSpec> groups;
+    LrMapSpec map;
+};
+
+TEST_F(SubsetTest, ConnectionsOfATargetAreBounded)
+{
+    for (uint32_t connections : {30u, 50u, 100u}) {
+        size_t size = LrSubset_Size(connections, 3, N_DAEMONS);
+        EXPECT_LE(size * 3, connections) << "with room for replacements";
+        EXPECT_GE(size, 2u);
+    }
+    EXPECT_EQ(LrSubset_Size(30, 3, 8), 8u) << "a small fleet is all direct";
+}
+
+TEST_F(SubsetTest, DaemonsOfTheReplicasZonesComeFirst)
+{
+    size_t size = LrSubset_Size(30, 3, N_DAEMONS);
+    size_t last = LrSubset_Bundle(N_GROUPS - 1);
+    for (size_t bundle = 0; bundle <= last; bundle++) {
+        for (size_t i : choose(bundle, N_DAEMONS, size)) {
+            size_t distance = (i % N_ZONES + N_ZONES - bundle % N_ZONES);
+            EXPECT_LT(distance % N_ZONES, 3u);
+        }
+    }
+}
+
+TEST_F(SubsetTest, LossOfADaemonMovesOnlyItsBundles)
+{
+    size_t size = 8, moved = 0, kept = 0;
+    size_t last = LrSubset_Bundle(N_GROUPS - 1);
+    for (size_t bundle = 0; bundle <= last; bundle++) {
+        std::vector<size_t> before = choose(bundle, N_DAEMONS, size);
+        std::vector<size_t> after = choose(bundle, N_DAEMONS - 1, size);
+        std::set<size_t> old(before.begin(), before.end());
+        for (size_t i : after) {
+            (old.count(i) ? kept : moved)++;
+        }
+    }
+    EXPECT_GT(kept, 600u);
+    EXPECT_LE(moved, 8u);
+}
