subset: links: bound one daemon's connections to a target

Each of n daemons now gets its n-th part of 0.8 of them (30 allowed: 24 alone, 8 of three, 3 of eight or more).

--- a/bench/histories.c
+++ b/bench/histories.c
@@ -247,9 +247,11 @@
         Counts total = {0};
         for (int i = 0; i < count->ival[0]; i++) {
             Counts one = {0};
-            run_history((uint64_t)seed->ival[0] + (uint64_t)i, planted, &total);
+            run_history((uint64_t)seed->ival[0] + (uint64_t)i, planted,
+                        &total);
             if (verbose->count > 0) {
-                run_history((uint64_t)seed->ival[0] + (uint64_t)i, planted, &one);
+                run_history((uint64_t)seed->ival[0] + (uint64_t)i, planted,
+                            &one);
                 print_counts(&one, 1, seed->ival[0] + i);
             }
         }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -481,6 +481,9 @@
 /* Number of daemons that may connect to a target with so many connections,
  * when each uses so many links. */
 size_t LrSubset_Size(uint32_t connections, uint32_t links, size_t n_daemons);
+/* Connections that each of so many daemons may have to a target; all of
+ * them when the fleet is not known. */
+uint32_t LrSubset_Links(uint32_t connections, size_t n_daemons);
 /* Bundle that a group of a map belongs to. */
 size_t LrSubset_Bundle(size_t group);
 /* Fills chosen with the indices of size daemons for a bundle. */
--- a/liblavenderrail/subset.c
+++ b/liblavenderrail/subset.c
@@ -24,6 +24,15 @@
     return MIN(MAX(size, MIN_DAEMONS), n_daemons);
 }
 
+uint32_t
+LrSubset_Links(uint32_t connections, size_t n_daemons)
+{
+    if (n_daemons == 0) {
+        return connections;
+    }
+    return (uint32_t)MAX(1, GIVEN_SHARE * connections / (double)n_daemons);
+}
+
 size_t
 LrSubset_Bundle(size_t group)
 {
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -190,7 +190,8 @@
         init_group(&map->groups[i], map, group->name,
                    chosen.direct ? group->n_replicas : chosen.size);
         if (chosen.direct) {
-            build_direct(view, &map->groups[i], group, connections, now);
+            build_direct(view, &map->groups[i], group,
+                         LrSubset_Links(connections, chosen.size), now);
         }
         else {
             build_relayed(view, &map->groups[i], &chosen, now);
--- a/tests/test_subset.cc
+++ b/tests/test_subset.cc
@@ -65,6 +65,10 @@
         EXPECT_LE(size * 3, connections) << "with room for replacements";
         EXPECT_GE(size, 2u);
     }
+    for (size_t n : {1u, 3u, 8u, 650u}) {
+        size_t size = LrSubset_Size(30, 3, n);
+        EXPECT_LE(size * LrSubset_Links(30, size), 30u) << n << " daemons";
+    }
     EXPECT_EQ(LrSubset_Size(30, 3, 8), 8u) << "a small fleet is all direct";
 }
 
