yield: hand-over: a planned stop leaves no key undecided

A stopping daemon now finishes what runs, stops deciding, sends its ledger to one other daemon and, once that has acknowledged, tells all members.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -173,7 +173,8 @@
 end_if_finished(LrDaemon *daemon)
 {
     if (daemon->finished_waiting && LrEngine_Running(daemon->engine) == 0 &&
-        LrServer_Open(daemon->callers) == 0) {
+        LrServer_Open(daemon->callers) == 0 &&
+        !LrLedger_IsRunning(daemon->ledger) && LrYield_Step(daemon->yield)) {
         LR_LOG(daemon->log, LOG_NOTICE, "stopped",
                LrLog_Str("name", daemon->settings.name));
         ev_break(daemon->loop, EVBREAK_ALL);
@@ -328,6 +329,7 @@
     daemon->client = LrClient_New(loop, 0, (size_t)settings->max_body_bytes);
     start_timers(daemon);
     daemon->relay = LrRelay_New(daemon);
+    daemon->yield = LrYield_New(daemon);
     daemon->forwarded = g_hash_table_new(g_int64_hash, g_int64_equal);
     if (!LrFleet_Start(daemon, error) || !open_servers(daemon, error)) {
         LrDaemon_Free(daemon);
@@ -361,6 +363,7 @@
     g_hash_table_unref(daemon->sent);
     g_hash_table_unref(daemon->forwarded);
     LrRelay_Free(daemon->relay);
+    LrYield_Free(daemon->yield);
     g_free(daemon);
 }
 
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -25,6 +25,7 @@
 } LrPending;
 
 typedef struct LrRelay LrRelay;
+typedef struct LrYield LrYield;
 
 struct LrDaemon {
     struct ev_loop *loop;
@@ -42,6 +43,7 @@
     LrPeers *peers;
     LrMembers *members;
     LrRelay *relay;
+    LrYield *yield;
     GHashTable *forwarded;
     int64_t next_forward;
     ev_timer probe_timer;
@@ -95,6 +97,20 @@
 void LrRelay_OnCancel(LrRelay *relay, const LrRelayCancelMsg *message);
 void LrRelay_LinkLost(LrRelay *relay, LrStr address);
 
+/* yield.c */
+LrYield *LrYield_New(LrDaemon *daemon);
+void LrYield_Free(LrYield *yield);
+/* Peer that decides on the keys of a coordinator that stopped; empty when
+ * none is known. */
+LrStr LrYield_Successor(const LrYield *yield, const LrKey *key);
+/* Whether this daemon has begun to yield: it runs no key any more. */
+bool LrYield_IsOver(const LrYield *yield);
+/* Starts or goes on with the hand-over; true when it has ended. */
+bool LrYield_Step(LrYield *yield);
+void LrYield_OnYield(LrYield *yield, const LrYieldMsg *message);
+void LrYield_OnAck(LrYield *yield, const LrYieldAckMsg *message);
+void LrYield_OnNotice(LrYield *yield, const LrYieldNoticeMsg *message);
+
 /* fleet.c */
 bool LrFleet_Start(LrDaemon *daemon, GError **error);
 void LrFleet_Stop(LrDaemon *daemon);
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -21,6 +21,9 @@
     [LR_MSG_RELAY] = &LrRelayMsg_Spec,
     [LR_MSG_RELAY_ANSWER] = &LrRelayAnswerMsg_Spec,
     [LR_MSG_RELAY_CANCEL] = &LrRelayCancelMsg_Spec,
+    [LR_MSG_YIELD] = &LrYieldMsg_Spec,
+    [LR_MSG_YIELD_ACK] = &LrYieldAckMsg_Spec,
+    [LR_MSG_YIELD_NOTICE] = &LrYieldNoticeMsg_Spec,
 };
 
 typedef struct {
@@ -177,6 +180,15 @@
     case LR_MSG_RELAY_CANCEL:
         LrRelay_OnCancel(daemon->relay, message);
         break;
+    case LR_MSG_YIELD:
+        LrYield_OnYield(daemon->yield, message);
+        break;
+    case LR_MSG_YIELD_ACK:
+        LrYield_OnAck(daemon->yield, message);
+        break;
+    case LR_MSG_YIELD_NOTICE:
+        LrYield_OnNotice(daemon->yield, message);
+        break;
     default:
         break;
     }
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -962,6 +962,144 @@
     .n_fields = G_N_ELEMENTS(LrRelayCancelMsg_Fields),
 };
 
+static const LrFieldSpec LrYieldRowMsg_Fields[] = {
+    {.name = "key",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrYieldRowMsg, key),
+     .hint = "idempotency key",
+     .required = true},
+    {.name = "fingerprint",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrYieldRowMsg, fingerprint),
+     .hint = "16 hexadecimal digits",
+     .required = true},
+    {.name = "outcome",
+     .kind = LR_FIELD_ENUM,
+     .offset = offsetof(LrYieldRowMsg, outcome),
+     .hint = "typed outcome",
+     .choices = LrOutcome_Names,
+     .fallback = 3},
+    {.name = "status",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrYieldRowMsg, status),
+     .hint = "HTTP status",
+     .required = true,
+     .min = 100,
+     .max = 599},
+    {.name = "left_ms",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrYieldRowMsg, left_ms),
+     .hint = "time to remember it, milliseconds",
+     .required = true,
+     .min = 0,
+     .max = 86400000},
+    {.name = "body",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrYieldRowMsg, body),
+     .hint = "JSON answer",
+     .fallback_str = ""},
+};
+
+const LrObjectSpec LrYieldRowMsg_Spec = {
+    .name = "LrYieldRowMsg",
+    .size = sizeof(LrYieldRowMsg),
+    .tag = 0,
+    .fields = LrYieldRowMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrYieldRowMsg_Fields),
+};
+
+static const LrFieldSpec LrYieldMsg_Fields[] = {
+    {.name = "name",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrYieldMsg, name),
+     .hint = "host that issued the keys",
+     .required = true},
+    {.name = "incarnation",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrYieldMsg, incarnation),
+     .hint = "incarnation of the former coordinator",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "reply_to",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrYieldMsg, reply_to),
+     .hint = "peer IP:port of the sender",
+     .required = true},
+    {.name = "rows",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrYieldMsg, rows),
+     .hint = "the finished requests",
+     .count_offset = offsetof(LrYieldMsg, n_rows),
+     .object = &LrYieldRowMsg_Spec},
+};
+
+const LrObjectSpec LrYieldMsg_Spec = {
+    .name = "LrYieldMsg",
+    .size = sizeof(LrYieldMsg),
+    .tag = 10,
+    .fields = LrYieldMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrYieldMsg_Fields),
+};
+
+static const LrFieldSpec LrYieldAckMsg_Fields[] = {
+    {.name = "name",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrYieldAckMsg, name),
+     .hint = "host that issued the keys",
+     .required = true},
+    {.name = "incarnation",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrYieldAckMsg, incarnation),
+     .hint = "incarnation of the former coordinator",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+};
+
+const LrObjectSpec LrYieldAckMsg_Spec = {
+    .name = "LrYieldAckMsg",
+    .size = sizeof(LrYieldAckMsg),
+    .tag = 11,
+    .fields = LrYieldAckMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrYieldAckMsg_Fields),
+};
+
+static const LrFieldSpec LrYieldNoticeMsg_Fields[] = {
+    {.name = "name",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrYieldNoticeMsg, name),
+     .hint = "host that issued the keys",
+     .required = true},
+    {.name = "incarnation",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrYieldNoticeMsg, incarnation),
+     .hint = "incarnation of the former coordinator",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "successor",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrYieldNoticeMsg, successor),
+     .hint = "peer IP:port of the daemon that took over",
+     .required = true},
+    {.name = "left_ms",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrYieldNoticeMsg, left_ms),
+     .hint = "life of the longest key, milliseconds",
+     .required = true,
+     .min = 0,
+     .max = 86400000},
+};
+
+const LrObjectSpec LrYieldNoticeMsg_Spec = {
+    .name = "LrYieldNoticeMsg",
+    .size = sizeof(LrYieldNoticeMsg),
+    .tag = 12,
+    .fields = LrYieldNoticeMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrYieldNoticeMsg_Fields),
+};
+
 const char *const LrCounterId_Names[] = {
     "queries",
     "complete",
@@ -996,6 +1134,7 @@
     "catalogue_deltas",
     "relayed",
     "relay_served",
+    "keys_taken_over",
 };
 
 const char *const LrCounterId_Help[] = {
@@ -1032,6 +1171,7 @@
     "Catalogue deltas sent to peers.",
     "Shards asked of another daemon.",
     "Shards served for another daemon.",
+    "Ledger rows taken over from coordinators that stopped.",
 };
 
 /* clang-format on */
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -437,6 +437,62 @@
 extern const LrObjectSpec LrRelayCancelMsg_Spec;
 #define LR_MSG_RELAY_CANCEL 9
 
+/* A finished keyed request of a coordinator that stops. */
+typedef struct {
+    /* idempotency key */
+    LrStr key;
+    /* 16 hexadecimal digits */
+    LrStr fingerprint;
+    /* typed outcome */
+    LrOutcome outcome;
+    /* HTTP status */
+    int64_t status;
+    /* time to remember it, milliseconds */
+    int64_t left_ms;
+    /* JSON answer */
+    LrStr body;
+} LrYieldRowMsg;
+extern const LrObjectSpec LrYieldRowMsg_Spec;
+
+/* A coordinator that stops yields its keys and their ledger to another daemon. */
+typedef struct {
+    /* host that issued the keys */
+    LrStr name;
+    /* incarnation of the former coordinator */
+    int64_t incarnation;
+    /* peer IP:port of the sender */
+    LrStr reply_to;
+    /* the finished requests */
+    LrYieldRowMsg *rows;
+    size_t n_rows;
+} LrYieldMsg;
+extern const LrObjectSpec LrYieldMsg_Spec;
+#define LR_MSG_YIELD 10
+
+/* The daemon has taken over the keys. */
+typedef struct {
+    /* host that issued the keys */
+    LrStr name;
+    /* incarnation of the former coordinator */
+    int64_t incarnation;
+} LrYieldAckMsg;
+extern const LrObjectSpec LrYieldAckMsg_Spec;
+#define LR_MSG_YIELD_ACK 11
+
+/* Tells which daemon now decides on another one's keys. */
+typedef struct {
+    /* host that issued the keys */
+    LrStr name;
+    /* incarnation of the former coordinator */
+    int64_t incarnation;
+    /* peer IP:port of the daemon that took over */
+    LrStr successor;
+    /* life of the longest key, milliseconds */
+    int64_t left_ms;
+} LrYieldNoticeMsg;
+extern const LrObjectSpec LrYieldNoticeMsg_Spec;
+#define LR_MSG_YIELD_NOTICE 12
+
 /* Counters of a daemon. */
 typedef enum {
     LR_COUNT_QUERIES,
@@ -472,6 +528,7 @@
     LR_COUNT_CATALOGUE_DELTAS,
     LR_COUNT_RELAYED,
     LR_COUNT_RELAY_SERVED,
+    LR_COUNT_KEYS_TAKEN_OVER,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/keyed.c
+++ b/liblavenderrail/keyed.c
@@ -196,11 +196,19 @@
     return entry ? entry->spec->deadline_ms * LR_MILLISECOND : LR_SECOND;
 }
 
-static bool
-is_coordinator(const LrMember *member, const LrKey *key)
+/* Where the key is decided on: at its issuer while that lives, else at the
+ * daemon that took its keys over. */
+static LrStr
+coordinator_address(const LrDaemon *daemon, const LrKey *key)
 {
-    return member && member->incarnation == key->incarnation &&
-           member->state != LR_MEMBER_DEAD;
+    LrStr successor = LrYield_Successor(daemon->yield, key);
+    if (successor.len > 0) {
+        return successor;
+    }
+    const LrMember *member = LrMembers_Lookup(daemon->members, key->host);
+    bool lives = member && member->incarnation == key->incarnation &&
+                 member->state != LR_MEMBER_DEAD;
+    return lives ? member->address : LrStr_FromC("");
 }
 
 static void
@@ -208,7 +216,7 @@
         GBytes *body)
 {
     LrDaemon *daemon = pending->daemon;
-    const LrMember *member = LrMembers_Lookup(daemon->members, key->host);
+    LrStr address = coordinator_address(daemon, key);
     LrTime deadline = entry_deadline(daemon, entry);
     LrCallMsg message = {
         .id = ++daemon->next_forward,
@@ -220,14 +228,13 @@
     };
     pending->forwarded = true;
     pending->id = message.id;
-    pending->coordinator = member ? LrStr_Dup(member->address) : NULL;
+    pending->coordinator = LrStr_Dup(address);
     ev_timer_init(&pending->timer, on_forward_timeout,
                   (double)deadline / (double)LR_SECOND, 0);
     pending->timer.data = pending;
     g_hash_table_insert(daemon->forwarded, &pending->id, pending);
-    if (!is_coordinator(member, key) ||
-        !LrPeers_Send(daemon->peers, member->address, &LrCallMsg_Spec,
-                      &message)) {
+    if (address.len == 0 ||
+        !LrPeers_Send(daemon->peers, address, &LrCallMsg_Spec, &message)) {
         lose_coordinator(pending);
         return;
     }
@@ -264,11 +271,18 @@
     g_list_free(rows);
 }
 
+/* Whether this daemon decides on the key: its issuer until it yields, or
+ * the daemon that took over. */
 static bool
 is_own(const LrDaemon *daemon, const LrKey *key)
 {
+    LrStr successor = LrYield_Successor(daemon->yield, key);
+    if (successor.len > 0) {
+        return LrStr_Equal(successor, daemon->settings.peer_listen);
+    }
     return LrStr_Equal(key->host, daemon->settings.name) &&
-           key->incarnation == daemon->incarnation;
+           key->incarnation == daemon->incarnation &&
+           !LrYield_IsOver(daemon->yield);
 }
 
 /* Judges the key of a request that came from a caller or from a peer. */
@@ -316,6 +330,24 @@
     LrDaemon_Settle(daemon);
 }
 
+/* A peer asked for a key that this daemon does not decide on. When it has
+ * yielded its keys, it knows who does. */
+static void
+pass_on(LrPending *pending, const LrCallMsg *message, const LrKey *key,
+        GBytes *body)
+{
+    LrDaemon *daemon = pending->daemon;
+    LrStr successor = LrYield_Successor(daemon->yield, key);
+    bool yielded = LrStr_Equal(key->host, daemon->settings.name) &&
+                   key->incarnation == daemon->incarnation;
+    if (yielded && successor.len > 0) {
+        forward(pending, message->entry, message->key, key, body);
+        return;
+    }
+    give_refusal(pending, LR_OUTCOME_UNKNOWN, LR_REASON_COORDINATOR_LOST,
+                 "the host that issued the key was replaced");
+}
+
 void
 LrKeyed_OnCall(LrDaemon *daemon, const LrCallMsg *message)
 {
@@ -327,12 +359,12 @@
     if (!judge_key(pending, message->key, &key)) {
         return;
     }
+    GBytes *body = g_bytes_new(message->body.ptr, message->body.len);
     if (!is_own(daemon, &key)) {
-        give_refusal(pending, LR_OUTCOME_UNKNOWN, LR_REASON_COORDINATOR_LOST,
-                     "the host that issued the key was replaced");
+        pass_on(pending, message, &key, body);
+        g_bytes_unref(body);
         return;
     }
-    GBytes *body = g_bytes_new(message->body.ptr, message->body.len);
     claim(pending, message->entry, message->key, &key, body,
           message->deadline_ms * LR_MILLISECOND);
     g_bytes_unref(body);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -677,6 +677,11 @@
 void LrLedger_Finish(LrLedger *ledger, LrLedgerRow *row, LrOutcome outcome,
                      int status, GBytes *answer);
 size_t LrLedger_Count(const LrLedger *ledger);
+/* Whether a request of a remembered key still runs. */
+bool LrLedger_IsRunning(const LrLedger *ledger);
+void LrLedger_Each(const LrLedger *ledger,
+                   void (*func)(void *data, const LrLedgerRow *row),
+                   void *data);
 
 /* key.c: issued idempotency keys, which name their coordinator. */
 typedef struct {
--- a/liblavenderrail/ledger.c
+++ b/liblavenderrail/ledger.c
@@ -119,3 +119,30 @@
 {
     return g_hash_table_size(ledger->rows);
 }
+
+void
+LrLedger_Each(const LrLedger *ledger,
+              void (*func)(void *data, const LrLedgerRow *row), void *data)
+{
+    GHashTableIter iter;
+    gpointer row;
+    g_hash_table_iter_init(&iter, ledger->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &row)) {
+        func(data, row);
+    }
+}
+
+static void
+note_running(void *data, const LrLedgerRow *row)
+{
+    bool *running = data;
+    *running |= !row->finished;
+}
+
+bool
+LrLedger_IsRunning(const LrLedger *ledger)
+{
+    bool running = false;
+    LrLedger_Each(ledger, note_running, &running);
+    return running;
+}
--- /dev/null
+++ b/liblavenderrail/yield.c
@@ -0,0 +1,296 @@
+/* Hand-over of keys at a planned stop.
+ *
+ * A coordinator that stops first finishes what runs, then takes no keyed
+ * request any more, and sends its ledger to one other daemon. That one
+ * decides on the keys from its acknowledgement on: it replays what finished
+ * and may run what never ran. All members are told, so that resends find it.
+ * Without an acknowledgement nobody takes over, and resends end in unknown. */
+#include "daemon.h"
+
+#include <string.h>
+
+/* The stop waits this long for an acknowledgement. */
+#define ACK_WAIT_SECONDS 1.0
+
+/* Whose keys another daemon decides on. */
+typedef struct {
+    char *name;
+    char *successor;
+    LrTime until;
+} Heir;
+
+struct LrYield {
+    LrDaemon *daemon;
+    /* By "name/incarnation". */
+    GHashTable *heirs;
+    char *successor;
+    ev_timer wait;
+    bool started;
+    bool ended;
+};
+
+static void
+free_heir(gpointer data)
+{
+    Heir *heir = data;
+    g_free(heir->name);
+    g_free(heir->successor);
+    g_free(heir);
+}
+
+LrYield *
+LrYield_New(LrDaemon *daemon)
+{
+    LrYield *yield = g_new0(LrYield, 1);
+    yield->daemon = daemon;
+    yield->heirs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_heir);
+    return yield;
+}
+
+void
+LrYield_Free(LrYield *yield)
+{
+    if (!yield) {
+        return;
+    }
+    ev_timer_stop(yield->daemon->loop, &yield->wait);
+    g_hash_table_unref(yield->heirs);
+    g_free(yield->successor);
+    g_free(yield);
+}
+
+static char *
+heir_name(LrStr host, int64_t incarnation)
+{
+    return g_strdup_printf("%.*s/%" G_GINT64_FORMAT, (int)host.len, host.ptr,
+                           incarnation);
+}
+
+static gboolean
+heir_expired(gpointer key, gpointer value, gpointer data)
+{
+    (void)key;
+    return ((Heir *)value)->until <= *(LrTime *)data;
+}
+
+static void
+add_heir(LrYield *yield, LrStr host, int64_t incarnation, LrStr successor,
+         LrTime until)
+{
+    LrTime now = LrLoop_Now();
+    g_hash_table_foreach_remove(yield->heirs, heir_expired, &now);
+    Heir *heir = g_new0(Heir, 1);
+    heir->name = heir_name(host, incarnation);
+    heir->successor = LrStr_Dup(successor);
+    heir->until = until;
+    g_hash_table_replace(yield->heirs, heir->name, heir);
+}
+
+LrStr
+LrYield_Successor(const LrYield *yield, const LrKey *key)
+{
+    g_autofree char *name = heir_name(key->host, key->incarnation);
+    const Heir *heir = g_hash_table_lookup(yield->heirs, name);
+    return LrStr_FromC(heir ? heir->successor : "");
+}
+
+bool
+LrYield_IsOver(const LrYield *yield)
+{
+    return yield->started;
+}
+
+static void
+end_yield(LrYield *yield)
+{
+    yield->ended = true;
+    ev_timer_stop(yield->daemon->loop, &yield->wait);
+}
+
+static void
+on_no_ack(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    LrYield *yield = timer->data;
+    LR_LOG(yield->daemon->log, LOG_WARNING, "yield_failed",
+           LrLog_C("successor", yield->successor));
+    end_yield(yield);
+}
+
+/* The next alive daemon by rendezvous weight. */
+static const LrMember *
+pick_successor(const LrDaemon *daemon)
+{
+    const LrMember *best = NULL;
+    uint64_t heaviest = 0;
+    uint64_t seed = LrStr_Hash(daemon->settings.name, 0);
+    for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
+        const LrMember *member = LrMembers_Get(daemon->members, i);
+        bool self = LrStr_Equal(member->name, daemon->settings.name);
+        if (self || member->state != LR_MEMBER_ALIVE ||
+            member->incarnation <= 0) {
+            continue;
+        }
+        uint64_t weight = LrStr_Hash(member->name, seed);
+        if (!best || weight > heaviest) {
+            best = member;
+            heaviest = weight;
+        }
+    }
+    return best;
+}
+
+typedef struct {
+    LrArena *arena;
+    GArray *rows;
+    LrTime now;
+} Rows;
+
+static void
+add_row(void *data, const LrLedgerRow *row)
+{
+    Rows *rows = data;
+    if (!row->finished || row->not_run || row->expires_at <= rows->now) {
+        return;
+    }
+    char text[24];
+    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+               row->fingerprint);
+    LrYieldRowMsg message = {
+        .key = row->key,
+        .fingerprint = LrArena_Copy(rows->arena, LrStr_FromC(text)),
+        .outcome = row->outcome,
+        .status = row->status,
+        .left_ms = (row->expires_at - rows->now) / LR_MILLISECOND,
+        .body = LrStr_FromBytes(row->answer),
+    };
+    g_array_append_val(rows->rows, message);
+}
+
+static bool
+send_ledger(LrYield *yield, LrStr address)
+{
+    LrDaemon *daemon = yield->daemon;
+    Rows rows = {
+        .arena = LrArena_New(),
+        .rows = g_array_new(FALSE, FALSE, sizeof(LrYieldRowMsg)),
+        .now = LrLoop_Now(),
+    };
+    LrLedger_Each(daemon->ledger, add_row, &rows);
+    LrYieldMsg message = {
+        .name = daemon->settings.name,
+        .incarnation = daemon->incarnation,
+        .reply_to = daemon->settings.peer_listen,
+        .rows = (LrYieldRowMsg *)(void *)rows.rows->data,
+        .n_rows = rows.rows->len,
+    };
+    bool sent =
+        LrPeers_Send(daemon->peers, address, &LrYieldMsg_Spec, &message);
+    g_array_unref(rows.rows);
+    LrArena_Free(rows.arena);
+    return sent;
+}
+
+bool
+LrYield_Step(LrYield *yield)
+{
+    LrDaemon *daemon = yield->daemon;
+    if (yield->started) {
+        return yield->ended;
+    }
+    yield->started = true;
+    const LrMember *successor = pick_successor(daemon);
+    if (!successor || !send_ledger(yield, successor->address)) {
+        yield->ended = true;
+        return true;
+    }
+    yield->successor = LrStr_Dup(successor->address);
+    ev_timer_init(&yield->wait, on_no_ack, ACK_WAIT_SECONDS, 0);
+    yield->wait.data = yield;
+    ev_timer_start(daemon->loop, &yield->wait);
+    return false;
+}
+
+static void
+take_row(LrDaemon *daemon, const LrYieldRowMsg *message, LrTime now)
+{
+    g_autofree char *text = LrStr_Dup(message->fingerprint);
+    uint64_t fingerprint;
+    LrLedgerRow *row;
+    if (!g_ascii_string_to_unsigned(text, 16, 0, UINT64_MAX, &fingerprint,
+                                    NULL)) {
+        return;
+    }
+    LrTime until = now + message->left_ms * LR_MILLISECOND;
+    if (LrLedger_Claim(daemon->ledger, message->key, fingerprint, now, until,
+                       &row) != LR_CLAIM_RUN) {
+        return;
+    }
+    GBytes *body = g_bytes_new(message->body.ptr, message->body.len);
+    LrLedger_Finish(daemon->ledger, row, message->outcome,
+                    (int)message->status, body);
+    g_bytes_unref(body);
+    LrCounters_Add(daemon->counters, LR_COUNT_KEYS_TAKEN_OVER, 1);
+}
+
+void
+LrYield_OnYield(LrYield *yield, const LrYieldMsg *message)
+{
+    LrDaemon *daemon = yield->daemon;
+    size_t room =
+        (size_t)daemon->settings.ledger_slots - LrLedger_Count(daemon->ledger);
+    if (daemon->stopping || yield->started || message->n_rows > room) {
+        return;
+    }
+    LrTime now = LrLoop_Now();
+    for (size_t i = 0; i < message->n_rows; i++) {
+        take_row(daemon, &message->rows[i], now);
+    }
+    add_heir(yield, message->name, message->incarnation,
+             daemon->settings.peer_listen,
+             now + daemon->settings.key_ttl_ms * LR_MILLISECOND);
+    LrYieldAckMsg ack = {
+        .name = message->name,
+        .incarnation = message->incarnation,
+    };
+    LrPeers_Send(daemon->peers, message->reply_to, &LrYieldAckMsg_Spec, &ack);
+}
+
+void
+LrYield_OnAck(LrYield *yield, const LrYieldAckMsg *message)
+{
+    LrDaemon *daemon = yield->daemon;
+    if (!yield->started || yield->ended ||
+        message->incarnation != daemon->incarnation) {
+        return;
+    }
+    LrYieldNoticeMsg notice = {
+        .name = daemon->settings.name,
+        .incarnation = daemon->incarnation,
+        .successor = LrStr_FromC(yield->successor),
+        .left_ms = daemon->settings.key_ttl_ms,
+    };
+    for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
+        const LrMember *member = LrMembers_Get(daemon->members, i);
+        if (member->state != LR_MEMBER_DEAD &&
+            !LrStr_Equal(member->name, daemon->settings.name)) {
+            LrPeers_Send(daemon->peers, member->address,
+                         &LrYieldNoticeMsg_Spec, &notice);
+        }
+    }
+    add_heir(yield, notice.name, notice.incarnation, notice.successor,
+             LR_NEVER);
+    LR_LOG(daemon->log, LOG_NOTICE, "keys_yielded",
+           LrLog_C("successor", yield->successor),
+           LrLog_Int("rows", (int64_t)LrLedger_Count(daemon->ledger)));
+    end_yield(yield);
+}
+
+void
+LrYield_OnNotice(LrYield *yield, const LrYieldNoticeMsg *message)
+{
+    add_heir(yield, message->name, message->incarnation, message->successor,
+             LrLoop_Now() + message->left_ms * LR_MILLISECOND);
+}
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -165,6 +165,29 @@
     EXPECT_GT(n_good, 50);
 }
 
+TEST(Fleet, PlannedStopHandsItsKeysOver)
+{
+    Fleet fleet(27600, 3);
+    std::string used = fleet.key(1);
+    std::string unused = fleet.key(1);
+    ASSERT_TRUE(eventually([&] {
+        return fleet.order(2, used).outcome() == "complete" &&
+               fleet.order(3, used).outcome() == "complete";
+    }));
+    std::string answer = fleet.order(2, used).body;
+    fleet.daemons[1]->signal(SIGTERM);
+    EXPECT_EQ(fleet.daemons[1]->wait(), 0);
+    for (int i = 2; i <= 3; i++) {
+        EXPECT_EQ(fleet.order(i, used).body, answer) << "replayed at " << i;
+        EXPECT_EQ(fleet.order(i, unused).outcome(), "complete") << i;
+    }
+    fleet.start(1);
+    ASSERT_TRUE(fleet.ready(1));
+    EXPECT_EQ(fleet.order(2, used).body, answer) << "after the replacement";
+    EXPECT_EQ(fleet.runs(used), 1);
+    EXPECT_EQ(fleet.runs(unused), 1);
+}
+
 TEST(Fleet, QuarantineSpreads)
 {
     Fleet fleet(26900, 2);
