--- a/bench/sim.c
+++ b/bench/sim.c
@@ -428,7 +428,6 @@
         sim->n_ended += LrEngine_Cancel(sim->engine, now, abort_row->id);
         settle(sim);
     }
-    g_free(abort_row);
 }
 
 /* The caller goes away within the next few milliseconds. */
@@ -438,6 +437,7 @@
     Abort *abort_row = g_new0(Abort, 1);
     abort_row->sim = sim;
     abort_row->id = id;
+    g_ptr_array_add(sim->aborts, abort_row);
     abort_row->timer = (LrTimer){.func = on_abort, .data = abort_row};
     LrTime delay = (LrTime)(gsl_rng_uniform(sim->rng) * 10e6);
     LrTimers_Set(sim->timers, &abort_row->timer, sim->now + delay);
@@ -634,6 +634,7 @@
     sim->by_address = g_hash_table_new(g_str_hash, g_str_equal);
     sim->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
     sim->requests = g_array_new(FALSE, TRUE, sizeof(SimRequest));
+    sim->aborts = g_ptr_array_new_with_free_func(g_free);
     sim->result.latencies = g_array_new(FALSE, FALSE, sizeof(double));
     sim->result.urgent_latencies = g_array_new(FALSE, FALSE, sizeof(double));
     for (size_t i = 0; i < sim->n_targets; i++) {
@@ -676,6 +677,7 @@
     g_free(sim->targets);
     g_hash_table_unref(sim->by_address);
     g_array_unref(sim->requests);
+    g_ptr_array_unref(sim->aborts);
     g_array_unref(sim->result.latencies);
     g_array_unref(sim->result.urgent_latencies);
     LrCounters_Free(sim->counters);
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -121,6 +121,7 @@
     GHashTable *by_address;
     GHashTable *jobs;
     GArray *requests;
+    GPtrArray *aborts;
     double rate_per_s;
     double urgent_share;
     double poison_share;
