--- a/bench/load.c
+++ b/bench/load.c
@@ -11,6 +11,8 @@
 #include <argtable2.h>
 #include <ev.h>
 
+#include "quantile.h"
+
 enum { OPTION_MAX_ERRORS = 10, MAX_BODY = 1 << 24 };
 
 typedef struct Load Load;
@@ -89,24 +91,6 @@
     load->over = true;
 }
 
-static int
-by_value(const void *a, const void *b)
-{
-    double left = *(const double *)a;
-    double right = *(const double *)b;
-    return (left > right) - (left < right);
-}
-
-static double
-quantile(GArray *values, double share)
-{
-    if (values->len == 0) {
-        return 0;
-    }
-    qsort(values->data, values->len, sizeof(double), by_value);
-    return g_array_index(values, double, (guint)(share * (values->len - 1)));
-}
-
 /* Processor seconds that a process has used; 0 without a process. */
 static double
 process_seconds(int pid)
@@ -172,8 +156,8 @@
     printf("kind=%s callers=%d answers=%.0f failed=%" G_GUINT64_FORMAT
            " per_s=%.0f p50_us=%.0f p99_us=%.0f",
            load->direct ? "direct" : "tier", load->n_callers, n,
-           load->n_failed, n / seconds, quantile(load->latencies, 0.5),
-           quantile(load->latencies, 0.99));
+           load->n_failed, n / seconds, Quantile_Of(load->latencies, 0.5),
+           Quantile_Of(load->latencies, 0.99));
     if (pid > 0) {
         printf(" daemon_cpu_us_per_sub_request=%.1f daemon_rss_mb=%.1f",
                cpu * 1e6 / MAX(1, n * fan_out), process_mb(pid));
--- a/bench/policy.c
+++ b/bench/policy.c
@@ -7,6 +7,7 @@
 #include <argtable2.h>
 #include <jansson.h>
 
+#include "quantile.h"
 #include "sim.h"
 
 enum { OPTION_MAX_ERRORS = 10, EVERY_TENTH = 10 };
@@ -278,25 +279,6 @@
     {"skew", setup_skew, CALM_SHARE, 5},
 };
 
-static int
-by_value(const void *a, const void *b)
-{
-    double left = *(const double *)a;
-    double right = *(const double *)b;
-    return (left > right) - (left < right);
-}
-
-static double
-quantile(GArray *values, double share)
-{
-    if (values->len == 0) {
-        return 0;
-    }
-    qsort(values->data, values->len, sizeof(double), by_value);
-    guint index = (guint)(share * (values->len - 1));
-    return g_array_index(values, double, index);
-}
-
 /* Longest time from a target's first sign of leaving to its last new work. */
 static double
 last_new_work_ms(const Sim *sim)
@@ -328,10 +310,10 @@
     return json_pack(
         "{s:f, s:f, s:f, s:f, s:f, s:f, s:I, s:I, s:f, s:f, s:I, s:I, s:I,"
         " s:f}",
-        "p50_ms", quantile(result->latencies, 0.5), "p99_ms",
-        quantile(result->latencies, 0.99), "p999_ms",
-        quantile(result->latencies, 0.999), "urgent_p99_ms",
-        quantile(result->urgent_latencies, 0.99), "useful",
+        "p50_ms", Quantile_Of(result->latencies, 0.5), "p99_ms",
+        Quantile_Of(result->latencies, 0.99), "p999_ms",
+        Quantile_Of(result->latencies, 0.999), "urgent_p99_ms",
+        Quantile_Of(result->urgent_latencies, 0.99), "useful",
         ratio((double)result->n_useful, bound), "coverage",
         ratio((double)result->n_parts_answered, (double)result->n_parts),
         "false_coverage", (json_int_t)result->false_coverage, "mixed_snapshot",
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -16,13 +16,6 @@
 
 enum { MAX_QUEUE = 60, CALLER_POISON = 1 };
 
-/* Body of an answer: which shard and index it really came from. */
-typedef struct {
-    size_t request;
-    size_t group;
-    int64_t version;
-} Evidence;
-
 static LrTime
 draw_service(SimTarget *target)
 {
@@ -57,8 +50,6 @@
     return replica == 0 ? LOCAL_TRANSIT : REMOTE_TRANSIT;
 }
 
-static void settle(Sim *sim);
-
 static void
 free_job(SimJob *job)
 {
@@ -93,7 +84,7 @@
     LrEngine_Advance(sim->engine, now);
     LrEngine_OnReply(sim->engine, now, job->attempt, &job->reply);
     free_job(job);
-    settle(sim);
+    Sim_Settle(sim);
 }
 
 /* Sends the reply on its way back; the job has left its target. */
@@ -121,9 +112,9 @@
         .queued = target->lie >= 0 ? target->lie : target->n_queued,
     };
     if (status == LR_REPLY_OK) {
-        Evidence evidence = {.request = job->request,
-                             .group = job->group,
-                             .version = job->version};
+        SimEvidence evidence = {.request = job->request,
+                                .group = job->group,
+                                .version = job->version};
         evidence.group += sim->plant == SIM_PLANT_FALSE_COVERAGE;
         evidence.version += sim->plant == SIM_PLANT_MIXED_SNAPSHOT;
         job->reply.version = job->version;
@@ -268,12 +259,6 @@
     }
 }
 
-static size_t
-shard_number(LrStr shard)
-{
-    return (size_t)strtoul(shard.ptr + 1, NULL, 10);
-}
-
 static void
 send_job(Sim *sim, const LrAction *action)
 {
@@ -288,7 +273,7 @@
     job->request = words[0];
     job->poisonous = words[1] == CALLER_POISON;
     job->version = action->version;
-    job->group = shard_number(action->shard);
+    job->group = Sim_ShardNumber(action->shard);
     job->service = target->next_service;
     redraw_group(target);
     note_schedule(target, sim->now, job->service);
@@ -328,73 +313,8 @@
     LrTimers_Set(sim->timers, &job->timer, due);
 }
 
-static void
-check_parts(Sim *sim, const LrAnswer *got, size_t request)
-{
-    SimResult *result = &sim->result;
-    size_t n_true = 0;
-    int64_t version = 0;
-    bool mixed = false;
-    bool wrong = false;
-    for (size_t i = 0; i < got->n_parts; i++) {
-        const LrAnswerPart *part = &got->parts[i];
-        if (part->reason != LR_REASON_NONE) {
-            continue;
-        }
-        const Evidence *evidence = g_bytes_get_data(part->body, NULL);
-        n_true++;
-        wrong |= evidence->request != request;
-        wrong |= evidence->group != shard_number(part->shard);
-        mixed |= version && version != evidence->version;
-        version = evidence->version;
-    }
-    wrong |= n_true != got->n_answered;
-    wrong |= got->outcome == LR_OUTCOME_COMPLETE && n_true != got->n_parts;
-    result->false_coverage += wrong;
-    result->mixed_snapshot += mixed || (version && version != got->version);
-    result->n_parts += got->n_parts;
-    result->n_parts_answered += got->n_answered;
-}
-
-static void
-take_answer(Sim *sim, const LrAnswer *got)
-{
-    SimResult *result = &sim->result;
-    size_t index = GPOINTER_TO_SIZE(got->data) - 1;
-    sim->n_ended += sim->plant != SIM_PLANT_LOST_ANSWERS;
-    const SimRequest *request =
-        &g_array_index(sim->requests, SimRequest, index);
-    if (got->outcome == LR_OUTCOME_NOT_RUN) {
-        result->n_refused++;
-        result->wrong_not_run +=
-            request->n_runs > 0 || sim->plant == SIM_PLANT_WRONG_NOT_RUN;
-    }
-    bool planted = sim->plant == SIM_PLANT_INNOCENT_QUARANTINED;
-    if ((got->reason == LR_REASON_QUARANTINED || planted) &&
-        !request->poisonous) {
-        result->innocent_quarantined++;
-    }
-    if (got->outcome == LR_OUTCOME_NOT_RUN || request->poisonous) {
-        return;
-    }
-    check_parts(sim, got, index);
-    if (request->once) {
-        return;
-    }
-    double ms = (double)(sim->now - request->sent_at) / (double)LR_MILLISECOND;
-    result->n_answers++;
-    double share = (double)got->n_answered / (double)got->n_parts;
-    bool useful = share >= sim->size->min_coverage;
-    result->n_useful += useful;
-    g_array_append_val(result->latencies, ms);
-    if (request->urgent) {
-        result->n_urgent_useful += useful;
-        g_array_append_val(result->urgent_latencies, ms);
-    }
-}
-
-static void
-settle(Sim *sim)
+void
+Sim_Settle(Sim *sim)
 {
     LrAction action;
     while (LrEngine_NextAction(sim->engine, &action)) {
@@ -406,7 +326,7 @@
             cancel_job(sim, action.attempt);
             break;
         case LR_ACTION_ANSWER:
-            take_answer(sim, action.answer);
+            Sim_Check(sim, action.answer);
             LrAnswer_Free(action.answer);
             break;
         }
@@ -426,7 +346,7 @@
     Sim *sim = abort_row->sim;
     if (now >= sim->paused_until) {
         sim->n_ended += LrEngine_Cancel(sim->engine, now, abort_row->id);
-        settle(sim);
+        Sim_Settle(sim);
     }
 }
 
@@ -469,7 +389,7 @@
     };
     uint64_t id = LrEngine_Submit(sim->engine, now, &ask);
     g_bytes_unref(body);
-    settle(sim);
+    Sim_Settle(sim);
     sim->n_submitted++;
     if (gsl_rng_uniform(sim->rng) < sim->abort_share) {
         abort_later(sim, id);
@@ -491,69 +411,7 @@
     }
     LrEngine_Advance(sim->engine, now);
     submit_request(sim, now);
-    settle(sim);
-}
-
-static void
-append_map(GString *text, const Sim *sim, int64_t version, size_t shift)
-{
-    const SimSize *size = sim->size;
-    g_string_append_printf(text, "{\"version\":%d,\"groups\":[", (int)version);
-    for (size_t g = 0; g < size->n_groups; g++) {
-        g_string_append_printf(text, "%s{\"name\":\"g%zu\",\"replicas\":[",
-                               g ? "," : "", g);
-        size_t home = (g + shift) % size->n_groups;
-        for (size_t r = 0; r < size->n_replicas; r++) {
-            size_t t = home * size->n_replicas + r;
-            g_string_append_printf(
-                text,
-                "%s{\"name\":\"t%zu\",\"address\":\"%s\",\"zone\":\"z%zu\"}",
-                r ? "," : "", t, sim->targets[t].address, r);
-        }
-        g_string_append(text, "]}");
-    }
-    g_string_append(text, "]}");
-}
-
-void
-Sim_Publish(Sim *sim, int64_t oldest, int64_t newest, size_t shift)
-{
-    GString *text = g_string_new(NULL);
-    g_string_append_printf(text,
-                           "{\"revision\":%d,\"services\":[{\"name\":\"s\","
-                           "\"connections\":30,\"maps\":[",
-                           (int)++sim->catalogue_revision);
-    for (int64_t v = oldest; v <= newest; v++) {
-        g_string_append(text, v > oldest ? "," : "");
-        append_map(text, sim, v, v == newest ? shift : 0);
-    }
-    g_string_append(text, "]}],\"entries\":[");
-    for (int urgent = 0; urgent < 2; urgent++) {
-        g_string_append_printf(
-            text,
-            "%s{\"name\":\"%s\",\"owner\":\"o\",\"service\":\"s\","
-            "\"class\":\"%s\",\"max_concurrency\":100000,"
-            "\"rate_per_s\":10000000,%s}",
-            urgent ? "," : "", LrClass_Names[!urgent], LrClass_Names[!urgent],
-            sim->size->entry_json);
-    }
-    g_string_append_printf(text,
-                           ",{\"name\":\"once\",\"owner\":\"o\","
-                           "\"service\":\"s\",\"idempotent\":false,"
-                           "\"max_concurrency\":100000,"
-                           "\"rate_per_s\":10000000,%s}",
-                           sim->size->entry_json);
-    g_string_append(text, "]}");
-    LrFaults *faults = LrFaults_New();
-    LrCatalogue *catalogue =
-        LrCatalogue_Parse((LrStr){.ptr = text->str, .len = text->len}, faults);
-    g_assert(catalogue);
-    LrEngine_SetCatalogue(sim->engine, sim->now, catalogue);
-    LrCatalogue_Unref(catalogue);
-    LrFaults_Free(faults);
-    g_string_free(text, TRUE);
-    sim->version = newest;
-    settle(sim);
+    Sim_Settle(sim);
 }
 
 /* Knows when each target will have a place and its next service time. */
@@ -710,7 +568,7 @@
         LrTimers_Run(sim->timers, sim->now);
         if (engine_due(sim) <= sim->now) {
             LrEngine_Advance(sim->engine, sim->now);
-            settle(sim);
+            Sim_Settle(sim);
         }
     }
     sim->result.lost_answers = sim->n_submitted - sim->n_ended;
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -54,6 +54,13 @@
     int64_t newest;
 };
 
+/* Body of an answer: which shard and index it really came from. */
+typedef struct {
+    size_t request;
+    size_t group;
+    int64_t version;
+} SimEvidence;
+
 /* What the simulation knows of a caller's request. */
 typedef struct {
     LrTime sent_at;
@@ -143,6 +150,12 @@
 
 Sim *Sim_New(const SimSize *size, const char *policy, uint64_t seed);
 void Sim_Free(Sim *sim);
+/* Carries out the engine's actions. */
+void Sim_Settle(Sim *sim);
+/* Number in the name of a shard. */
+size_t Sim_ShardNumber(LrStr shard);
+/* Counts an answer and whatever is wrong with it. */
+void Sim_Check(Sim *sim, const LrAnswer *answer);
 /* Queries a second that the targets of a group can serve in all. */
 double Sim_Capacity(const Sim *sim);
 /* Publishes a catalogue whose maps are the given versions; shift moves the
--- a/liblavenderrail/hostlist.c
+++ b/liblavenderrail/hostlist.c
@@ -6,12 +6,8 @@
 LrHostList *
 LrHostList_Parse(LrStr text, LrFaults *faults)
 {
-    json_error_t error;
-    json_t *json =
-        json_loadb(text.ptr, text.len, JSON_REJECT_DUPLICATES, &error);
+    json_t *json = LrRecord_LoadJson(text, faults);
     if (!json) {
-        LrFaults_Add(faults, "$", "write valid JSON", "line %d column %d: %s",
-                     error.line, error.column, error.text);
         return NULL;
     }
     LrHostList *list = g_new0(LrHostList, 1);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -101,7 +101,8 @@
 void *LrArena_Alloc(LrArena *arena, size_t size);
 LrStr LrArena_Copy(LrArena *arena, LrStr text);
 
-/* record.c: structs described by generated tables, and their codecs. */
+/* record.c, record_json.c, record_msgpack.c: structs described by generated
+ * tables, and their codecs. */
 typedef enum {
     LR_FIELD_STR,
     LR_FIELD_INT,
@@ -141,6 +142,8 @@
 /* Sets one scalar field from text, as flags and the environment give it. */
 bool LrRecord_SetText(const LrFieldSpec *field, void *out, LrStr text,
                       const char *path, LrFaults *faults);
+/* Parses JSON text; NULL with a fault when it is none. */
+struct json_t *LrRecord_LoadJson(LrStr text, LrFaults *faults);
 /* Reads a JSON object; every fault is reported. Strings borrow from json. */
 bool LrRecord_ReadJson(const LrObjectSpec *spec, const struct json_t *json,
                        void *out, LrArena *arena, const char *path,
--- /dev/null
+++ b/liblavenderrail/record.h
@@ -0,0 +1,42 @@
+/* Access to the fields of records, shared by their codecs. */
+#ifndef LAVENDERRAIL_RECORD_H
+#define LAVENDERRAIL_RECORD_H
+
+#include "lavenderrail.h"
+
+static inline void *
+LrField_At(const LrFieldSpec *field, void *record)
+{
+    return (char *)record + field->offset;
+}
+
+static inline const void *
+LrField_In(const LrFieldSpec *field, const void *record)
+{
+    return (const char *)record + field->offset;
+}
+
+static inline size_t
+LrField_Length(const LrFieldSpec *field, const void *record)
+{
+    return *(const size_t *)((const char *)record + field->count_offset);
+}
+
+static inline void
+LrField_SetList(const LrFieldSpec *field, void *record, void *items,
+                size_t length)
+{
+    *(void **)LrField_At(field, record) = items;
+    *(size_t *)((char *)record + field->count_offset) = length;
+}
+
+/* Sets a number, a truth value or an enumerator. */
+void LrField_SetNumber(const LrFieldSpec *field, void *record, double value);
+/* Reports a number outside the field's range. */
+bool LrField_CheckRange(const LrFieldSpec *field, double value,
+                        const char *path, LrFaults *faults);
+/* Sets an enumerator by its name. */
+bool LrField_SetChoice(const LrFieldSpec *field, void *record, LrStr text,
+                       const char *path, LrFaults *faults);
+
+#endif
