tests: zone: a zone cut off from the others and from the platform

Cause: the zone cut was proved for membership under virtual time only. A relay in the test cuts every link to and from one daemon, and its way to the platform: it serves, issues and runs keys; its keys are unknown elsewhere and theirs there; it keeps its revision; after the cut it hears of the new one, and no key ran twice.

--peer-address tells the others where a daemon is reached when that is not where it listens.

--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -98,7 +98,7 @@
     daemon->asked_at = now;
     LrAskMsg ask = {
         .revision = own_revision(daemon),
-        .reply_to = daemon->settings.peer_listen,
+        .reply_to = daemon->settings.peer_address,
     };
     LrPeers_Send(daemon->peers, message->news[0].address, &LrAskMsg_Spec,
                  &ask);
@@ -293,7 +293,7 @@
     LrMembersConfig config = {
         .name = daemon->settings.name,
         .zone = daemon->settings.zone,
-        .address = daemon->settings.peer_listen,
+        .address = daemon->settings.peer_address,
         .incarnation = daemon->incarnation,
         .interval = daemon->settings.probe_ms * LR_MILLISECOND,
         .random = LrEngine_Random(daemon->engine),
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -209,6 +209,8 @@
     LrStr operator_listen;
     /* IP:port for other daemons */
     LrStr peer_listen;
+    /* IP:port at which other daemons reach --peer-listen; empty for the same */
+    LrStr peer_address;
     /* http://IP:port of the configuration service */
     LrStr config_url;
     /* http://IP:port of the host list */
--- a/liblavenderrail/keyed.c
+++ b/liblavenderrail/keyed.c
@@ -224,7 +224,7 @@
         .key = text,
         .deadline_ms = deadline / LR_MILLISECOND,
         .body = LrStr_FromBytes(body),
-        .reply_to = daemon->settings.peer_listen,
+        .reply_to = daemon->settings.peer_address,
     };
     pending->forwarded = true;
     pending->id = message.id;
@@ -278,7 +278,7 @@
 {
     LrStr successor = LrYield_Successor(daemon->yield, key);
     if (successor.len > 0) {
-        return LrStr_Equal(successor, daemon->settings.peer_listen);
+        return LrStr_Equal(successor, daemon->settings.peer_address);
     }
     return LrStr_Equal(key->host, daemon->settings.name) &&
            key->incarnation == daemon->incarnation &&
--- a/liblavenderrail/relay.c
+++ b/liblavenderrail/relay.c
@@ -164,7 +164,7 @@
 {
     LrDaemon *daemon = relay->daemon;
     batch->head.body = LrStr_FromBytes(batch->body);
-    batch->head.reply_to = daemon->settings.peer_listen;
+    batch->head.reply_to = daemon->settings.peer_address;
     batch->head.parts = (LrPartMsg *)(void *)batch->parts->data;
     batch->head.n_parts = batch->parts->len;
     if (!LrPeers_Send(daemon->peers, LrStr_FromC(batch->address),
@@ -177,7 +177,7 @@
 send_cancels(LrRelay *relay, const Batch *batch)
 {
     LrRelayCancelMsg message = {
-        .reply_to = relay->daemon->settings.peer_listen,
+        .reply_to = relay->daemon->settings.peer_address,
         .parts = (LrPartMsg *)(void *)batch->cancels->data,
         .n_parts = batch->cancels->len,
     };
--- a/liblavenderrail/settings.c
+++ b/liblavenderrail/settings.c
@@ -122,6 +122,7 @@
     check_address(settings->listen, "--listen", faults);
     check_address(settings->operator_listen, "--operator-listen", faults);
     check_address(settings->peer_listen, "--peer-listen", faults);
+    check_address(settings->peer_address, "--peer-address", faults);
     check_url(settings->config_url, "--config-url", faults);
     check_url(settings->hosts_url, "--hosts-url", faults);
     if (settings->name.len == 0 || settings->zone.len == 0) {
@@ -149,6 +150,9 @@
         load_field(settings, arena, &spec->fields[i], options->values[i],
                    options->names[i], faults);
     }
+    if (settings->peer_address.len == 0) {
+        settings->peer_address = settings->peer_listen;
+    }
     if (LrFaults_Count(faults) == 0) {
         check_settings(settings, faults);
     }
--- a/liblavenderrail/yield.c
+++ b/liblavenderrail/yield.c
@@ -182,7 +182,7 @@
     LrYieldMsg message = {
         .name = daemon->settings.name,
         .incarnation = daemon->incarnation,
-        .reply_to = daemon->settings.peer_listen,
+        .reply_to = daemon->settings.peer_address,
         .rows = (LrYieldRowMsg *)(void *)rows.rows->data,
         .n_rows = rows.rows->len,
     };
@@ -249,7 +249,7 @@
         take_row(daemon, &message->rows[i], now);
     }
     add_heir(yield, message->name, message->incarnation,
-             daemon->settings.peer_listen,
+             daemon->settings.peer_address,
              now + daemon->settings.key_ttl_ms * LR_MILLISECOND);
     LrYieldAckMsg ack = {
         .name = message->name,
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -133,8 +133,11 @@
 
 class Fleet {
   public:
-    Fleet(int base, int n_daemons, const char *links = "3")
-        : base_(base), links_(links)
+    // With relayed links each daemon is reached at its port + 4 and reaches
+    // the platform at + 5; the test starts the daemons with start_all.
+    Fleet(int base, int n_daemons, const char *links = "3",
+          bool relayed = false)
+        : base_(base), links_(links), relayed_(relayed)
     {
         write_catalogue(1, 500);
         std::vector<std::string> arguments = {LR_BIN "/lr-standin",
@@ -149,17 +152,24 @@
         for (int i = 1; i <= n_daemons; i++) {
             arguments.push_back("--daemon");
             arguments.push_back(name(i) + "," + zone(i) + "," +
-                                address(10 * i + 3));
+                                address(10 * i + (relayed ? 4 : 3)));
         }
         standin = std::make_unique<Process>(arguments);
         EXPECT_TRUE(eventually(
             [&] { return http(platform("/control/reads")).status == 200; }));
         daemons.resize((size_t)n_daemons + 1);
-        for (int i = 1; i <= n_daemons; i++) {
-            start(i);
+        if (!relayed) {
+            start_all();
         }
-        for (int i = 1; i <= n_daemons; i++) {
-            EXPECT_TRUE(ready(i));
+    }
+    void
+    start_all()
+    {
+        for (size_t i = 1; i < daemons.size(); i++) {
+            start((int)i);
+        }
+        for (size_t i = 1; i < daemons.size(); i++) {
+            EXPECT_TRUE(ready((int)i));
         }
     }
     ~Fleet()
@@ -171,37 +181,40 @@
     start(int i, std::string config_url = "")
     {
         if (config_url.empty()) {
-            config_url = platform("");
+            config_url = "http://" + address(relayed_ ? 10 * i + 5 : 0);
         }
-        std::vector<std::string> arguments = {LR_BIN "/lavenderraild",
-                                              "--name",
-                                              name(i),
-                                              "--zone",
-                                              zone(i),
-                                              "--listen",
-                                              address(10 * i + 1),
-                                              "--operator-listen",
-                                              address(10 * i + 2),
-                                              "--peer-listen",
-                                              address(10 * i + 3),
-                                              "--config-url",
-                                              config_url,
-                                              "--hosts-url",
-                                              "http://" + address(0),
-                                              "--probe-ms",
-                                              "100",
-                                              "--watch-wait-ms",
-                                              "1000",
-                                              "--watch-retry-ms",
-                                              "100",
-                                              "--drain-wait-ms",
-                                              "400",
-                                              "--target-links",
-                                              links_,
-                                              "--log-level",
-                                              "4",
-                                              "--seed",
-                                              std::to_string(i)};
+        std::vector<std::string> arguments = {
+            LR_BIN "/lavenderraild",
+            "--name",
+            name(i),
+            "--zone",
+            zone(i),
+            "--listen",
+            address(10 * i + 1),
+            "--operator-listen",
+            address(10 * i + 2),
+            "--peer-listen",
+            address(10 * i + 3),
+            "--config-url",
+            config_url,
+            "--hosts-url",
+            "http://" + address(relayed_ ? 10 * i + 5 : 0),
+            "--probe-ms",
+            "100",
+            "--watch-wait-ms",
+            "1000",
+            "--watch-retry-ms",
+            "100",
+            "--drain-wait-ms",
+            "400",
+            "--peer-address",
+            address(10 * i + (relayed_ ? 4 : 3)),
+            "--target-links",
+            links_,
+            "--log-level",
+            "4",
+            "--seed",
+            std::to_string(i)};
         daemons[(size_t)i] = std::make_unique<Process>(arguments);
     }
     bool
@@ -344,6 +357,7 @@
 
     int base_;
     std::string links_;
+    bool relayed_;
     std::string path_;
 };
 
--- /dev/null
+++ b/tests/test_zone.cc
@@ -0,0 +1,81 @@
+// A zone cut off from the other zones and from the platform goes on, and
+// finds the others again.
+#include "cut.h"
+#include "fleet.h"
+
+class ZoneTest : public testing::Test {
+  protected:
+    static constexpr int BASE = 27700;
+
+    void
+    SetUp() override
+    {
+        fleet = std::make_unique<Fleet>(BASE, 3, "3", true);
+        for (int i = 1; i <= 3; i++) {
+            // A daemon's greeting names it; what daemon 3 sends, and what is
+            // sent to it, is cut.
+            relays.push_back(std::make_unique<Cut>(
+                BASE + 10 * i + 4, BASE + 10 * i + 3,
+                [this, i](const std::string &first) {
+                    bool from_third = first.find("d3") != std::string::npos;
+                    return cut && (from_third != (i == 3));
+                }));
+            relays.push_back(std::make_unique<Cut>(
+                BASE + 10 * i + 5, BASE,
+                [this, i](const std::string &) { return cut && i == 3; }));
+        }
+        fleet->start_all();
+        ASSERT_TRUE(eventually([&] { return state(1, "d3") == "alive"; }));
+        ASSERT_TRUE(eventually([&] { return state(3, "d1") == "alive"; }));
+    }
+    // What a daemon believes of a member.
+    std::string
+    state(int by, const std::string &whom)
+    {
+        HttpAnswer answer = http(fleet->operators(by, "/state"));
+        json_t *json =
+            json_loadb(answer.body.data(), answer.body.size(), 0, nullptr);
+        std::string result;
+        size_t i;
+        json_t *member;
+        json_array_foreach(json_object_get(json, "members"), i, member)
+        {
+            if (whom == json_string_value(json_object_get(member, "name")) &&
+                json_integer_value(json_object_get(member, "incarnation"))) {
+                result = json_string_value(json_object_get(member, "state"));
+            }
+        }
+        json_decref(json);
+        return result;
+    }
+
+    std::atomic<bool> cut{false};
+    std::unique_ptr<Fleet> fleet;
+    std::vector<std::unique_ptr<Cut>> relays;
+};
+
+TEST_F(ZoneTest, CutOffZoneGoesOnAndFindsTheOthersAgain)
+{
+    std::string before = fleet->key(1);
+    ASSERT_TRUE(eventually(
+        [&] { return fleet->order(3, before).outcome() == "complete"; }));
+    cut = true;
+    EXPECT_TRUE(eventually([&] { return state(1, "d3") == "dead"; }));
+    EXPECT_TRUE(eventually([&] { return state(3, "d1") == "dead"; }));
+    EXPECT_EQ(fleet->query(3).outcome(), "complete") << "serves what it can";
+    std::string own = fleet->key(3);
+    EXPECT_EQ(fleet->order(3, own).outcome(), "complete");
+    EXPECT_EQ(fleet->order(1, own).outcome(), "unknown")
+        << "nobody else decides on it";
+    EXPECT_EQ(fleet->order(3, before).outcome(), "unknown");
+    fleet->edit(2, 700);
+    EXPECT_TRUE(eventually([&] { return fleet->revision(1) == 2; }));
+    EXPECT_EQ(fleet->revision(3), 1) << "it cannot have heard";
+    cut = false;
+    EXPECT_TRUE(eventually([&] { return state(1, "d3") == "alive"; }));
+    EXPECT_TRUE(eventually([&] { return fleet->revision(3) == 2; }));
+    EXPECT_TRUE(eventually(
+        [&] { return fleet->order(1, own).outcome() == "complete"; }));
+    EXPECT_EQ(fleet->runs(own), 1);
+    EXPECT_EQ(fleet->runs(before), 1);
+}
