--- a/liblavenderrail/catalogue.c
+++ b/liblavenderrail/catalogue.c
@@ -187,17 +187,6 @@
     g_free(catalogue);
 }
 
-const LrEntrySpec *
-LrCatalogue_LookupEntry(const LrCatalogue *catalogue, LrStr name)
-{
-    for (size_t i = 0; i < catalogue->spec.n_entries; i++) {
-        if (LrStr_Equal(catalogue->spec.entries[i].name, name)) {
-            return &catalogue->spec.entries[i];
-        }
-    }
-    return NULL;
-}
-
 const LrServiceSpec *
 LrCatalogue_LookupService(const LrCatalogue *catalogue, LrStr name)
 {
--- a/liblavenderrail/client.c
+++ b/liblavenderrail/client.c
@@ -342,13 +342,6 @@
     free_transfer(transfer);
 }
 
-void
-LrTransfer_SetData(LrTransfer *transfer, LrTransferFunc done, void *data)
-{
-    transfer->done = done;
-    transfer->data = data;
-}
-
 LrStr
 LrTransfer_Header(LrTransfer *transfer, const char *name)
 {
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -84,7 +84,7 @@
     size_t relayed = view ? LrView_Relayed(view) : 0;
     json_t *json = json_pack(
         "{s:o, s:o, s:I, s:I, s:b, s:b, s:I, s:I, s:o, s:o, s:o, s:o, s:o,"
-        " s:o, s:o, s:I}",
+        " s:o, s:o, s:I, s:I}",
         "name", str_json(daemon->settings.name), "zone",
         str_json(daemon->settings.zone), "incarnation",
         (json_int_t)daemon->incarnation, "uptime_ms",
@@ -96,8 +96,8 @@
         LrRecord_WriteJson(&LrSettings_Spec, &daemon->settings), "entries",
         dump_entries(LrEngine_View(daemon->engine)), "targets", targets,
         "quarantine", quarantined, "members", LrFleet_Dump(daemon), "counters",
-        dump_counters(daemon->counters), "relayed_shards",
-        (json_int_t)relayed);
+        dump_counters(daemon->counters), "relayed_shards", (json_int_t)relayed,
+        "peer_links", (json_int_t)LrPeers_Count(daemon->peers));
     char *text = json_dumps(json, JSON_INDENT(1));
     char *copy = g_strdup(text);
     free(text);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -64,13 +64,9 @@
 /* error.c: the GError domain and lists of faults. */
 #define LR_ERROR (LrError_Quark())
 typedef enum {
-    LR_ERROR_SETTINGS,
-    LR_ERROR_CATALOGUE,
     LR_ERROR_ADDRESS,
     LR_ERROR_SOCKET,
     LR_ERROR_PROTOCOL,
-    LR_ERROR_HTTP,
-    LR_ERROR_KEY,
 } LrErrorCode;
 
 /* One thing wrong with a document. All members are owned. */
@@ -236,8 +232,6 @@
 LrCatalogue *LrCatalogue_Parse(LrStr text, LrFaults *faults);
 LrCatalogue *LrCatalogue_Ref(LrCatalogue *catalogue);
 void LrCatalogue_Unref(LrCatalogue *catalogue);
-const LrEntrySpec *LrCatalogue_LookupEntry(const LrCatalogue *catalogue,
-                                           LrStr name);
 const LrServiceSpec *LrCatalogue_LookupService(const LrCatalogue *catalogue,
                                                LrStr name);
 /* What an edit changes, one line a change, to be freed with g_free. */
@@ -358,7 +352,6 @@
 typedef enum {
     LR_SIGN_ANSWER = 1,
     LR_SIGN_HOST_LIST = 2,
-    LR_SIGN_HEALTH = 4,
 } LrLeavingSign;
 
 /* What an answer says of its target. */
@@ -384,7 +377,6 @@
     double report_queue;
     LrTime report_at;
     uint32_t failures;
-    LrTime failed_at;
     LrTime broken_at;
     LrTime cancelled_at;
     /* What was in flight at the target's last death. */
@@ -963,8 +955,6 @@
 LrTransfer *LrClient_Send(LrClient *client, const LrTransferSpec *spec);
 /* Ends a transfer; done is not called. */
 void LrTransfer_Cancel(LrTransfer *transfer);
-/* Calls done with other data from now on. */
-void LrTransfer_SetData(LrTransfer *transfer, LrTransferFunc done, void *data);
 /* Header of the response, valid within done; empty when absent. */
 LrStr LrTransfer_Header(LrTransfer *transfer, const char *name);
 
@@ -1014,6 +1004,7 @@
  * be sent. */
 bool LrPeers_Send(LrPeers *peers, LrStr address, const LrObjectSpec *spec,
                   const void *message);
+/* Open links, in both directions. */
 size_t LrPeers_Count(const LrPeers *peers);
 
 /* watch.c: reader of the configuration service and the host list. */
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -417,7 +417,6 @@
 LrRouter_OnFailure(LrRouter *router, LrTarget *target, LrTime now)
 {
     target->failures++;
-    target->failed_at = now;
     if (target->failures < FAILURES_TO_EJECT || target->ejected_until > now) {
         return;
     }
