lend: limits: a daemon in demand borrows from its peers' parts

Cause: fixed parts gave a skewed caller an eighth of an entry's limit at eight daemons. A daemon that refuses for want of its part asks peers for what they have to spare; the borrower's lease, counted from its asking, ends before the lender's, counted from its answer.

The sum never exceeds the limit in 50 seeds of 300 steps with delays of up to 1.5 s, losses and pauses of 3 s.

--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -19,6 +19,23 @@
 /* Share of answers that a late start must still be in time for. */
 #define NEEDED_QUANTILE 0.5
 
+/* Whether the entry's limits, as far as they are this daemon's now, let one
+ * more request in. */
+static bool
+take_limits(LrEngine *engine, LrEntry *entry, LrTime now)
+{
+    LrEntryState *state = entry->state;
+    int64_t places = LrLend_Effective(
+        &state->lend_concurrency,
+        LrShare_Of(&engine->share, entry->spec->max_concurrency), now);
+    double rate = (double)LrLend_Effective(
+        &state->lend_rate, LrShare_Of(&engine->share, entry->spec->rate_per_s),
+        now);
+    state->rate.per_second = rate;
+    state->rate.cap = rate;
+    return state->running < places && LrBucket_Take(&state->rate, now);
+}
+
 LrReason
 LrAdmission_Check(LrEngine *engine, LrQuery *query, LrTime now)
 {
@@ -35,13 +52,8 @@
     if (query->shard.len > 0) {
         return LR_REASON_NONE;
     }
-    LrEntryState *state = query->entry->state;
-    const LrEntrySpec *spec = query->entry->spec;
-    double rate = (double)LrShare_Of(&engine->share, spec->rate_per_s);
-    state->rate.per_second = rate;
-    state->rate.cap = rate;
-    if (state->running >= LrShare_Of(&engine->share, spec->max_concurrency) ||
-        !LrBucket_Take(&state->rate, now)) {
+    if (!take_limits(engine, query->entry, now)) {
+        query->entry->state->wants = true;
         return LR_REASON_ENTRY_LIMIT;
     }
     return LR_REASON_NONE;
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -340,6 +340,66 @@
     LrShare_Set(&engine->share, now, rank, count);
 }
 
+/* An entry that wants a loan asks again after this time. */
+#define ASK_INTERVAL (LR_LEASE / 4)
+
+void
+LrEngine_EachWanting(LrEngine *engine, LrTime now,
+                     void (*func)(void *data, const LrEntrySpec *spec,
+                                  LrTime asked_at),
+                     void *data)
+{
+    for (size_t i = 0; engine->view && i < engine->view->n_entries; i++) {
+        LrEntry *entry = &engine->view->entries[i];
+        LrEntryState *state = entry->state;
+        if (state->wants && now - state->asked_at >= ASK_INTERVAL) {
+            state->wants = false;
+            state->asked_at = now;
+            func(data, entry->spec, now);
+        }
+    }
+}
+
+void
+LrEngine_Lend(LrEngine *engine, LrTime now, const LrBorrowMsg *ask,
+              LrLoanMsg *loan)
+{
+    LrEntry *entry =
+        engine->view ? LrView_LookupEntry(engine->view, ask->entry) : NULL;
+    *loan = (LrLoanMsg){.entry = ask->entry, .asked_at = ask->asked_at};
+    /* A daemon that is short itself lends nothing. */
+    if (!entry || entry->state->wants) {
+        return;
+    }
+    LrEntryState *state = entry->state;
+    const LrEntrySpec *spec = entry->spec;
+    int64_t rate = LrShare_Of(&engine->share, spec->rate_per_s);
+    double idle =
+        state->rate.cap > 0 ? state->rate.tokens / state->rate.cap : 1;
+    loan->concurrency =
+        LrLend_Give(&state->lend_concurrency,
+                    LrShare_Of(&engine->share, spec->max_concurrency),
+                    state->running, ask->concurrency, now);
+    loan->rate =
+        LrLend_Give(&state->lend_rate, rate,
+                    (int64_t)((double)rate * (1 - idle)), ask->rate, now);
+}
+
+void
+LrEngine_TakeLoan(LrEngine *engine, LrTime now, const LrLoanMsg *loan)
+{
+    LrEntry *entry =
+        engine->view ? LrView_LookupEntry(engine->view, loan->entry) : NULL;
+    if (!entry) {
+        return;
+    }
+    LrEntryState *state = entry->state;
+    bool taken = LrLend_Take(&state->lend_concurrency, loan->concurrency,
+                             loan->asked_at, now);
+    taken |= LrLend_Take(&state->lend_rate, loan->rate, loan->asked_at, now);
+    LrCounters_Add(engine->config.counters, LR_COUNT_LOANS_TAKEN, taken);
+}
+
 size_t
 LrEngine_Running(const LrEngine *engine)
 {
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -24,6 +24,8 @@
     [LR_MSG_YIELD] = &LrYieldMsg_Spec,
     [LR_MSG_YIELD_ACK] = &LrYieldAckMsg_Spec,
     [LR_MSG_YIELD_NOTICE] = &LrYieldNoticeMsg_Spec,
+    [LR_MSG_BORROW] = &LrBorrowMsg_Spec,
+    [LR_MSG_LOAN] = &LrLoanMsg_Spec,
 };
 
 typedef struct {
@@ -152,6 +154,48 @@
     LrWatch_Offer(daemon->watch, store, "peer");
 }
 
+/* Peers asked for one loan. */
+enum { LENDERS = 7 };
+
+/* Asks a few peers, from a random one on, for some of their parts. */
+static void
+ask_loans(void *data, const LrEntrySpec *spec, LrTime asked_at)
+{
+    LrDaemon *daemon = data;
+    LrBorrowMsg ask = {
+        .entry = spec->name,
+        .reply_to = daemon->settings.peer_address,
+        .asked_at = asked_at,
+        .concurrency = spec->max_concurrency,
+        .rate = spec->rate_per_s,
+    };
+    size_t n = LrMembers_Count(daemon->members);
+    size_t start =
+        LrRandom_Below(LrEngine_Random(daemon->engine), (uint32_t)n);
+    unsigned n_asked = 0;
+    for (size_t i = 0; i < n && n_asked < LENDERS; i++) {
+        const LrMember *member =
+            LrMembers_Get(daemon->members, (start + i) % n);
+        if (member->state == LR_MEMBER_ALIVE &&
+            !LrStr_Equal(member->name, daemon->settings.name)) {
+            LrPeers_Send(daemon->peers, member->address, &LrBorrowMsg_Spec,
+                         &ask);
+            n_asked++;
+        }
+    }
+}
+
+static void
+on_borrow(LrDaemon *daemon, const LrBorrowMsg *message)
+{
+    LrLoanMsg loan;
+    LrEngine_Lend(daemon->engine, LrLoop_Now(), message, &loan);
+    if (loan.concurrency > 0 || loan.rate > 0) {
+        LrCounters_Add(daemon->counters, LR_COUNT_LOANS_GIVEN, 1);
+        LrPeers_Send(daemon->peers, message->reply_to, &LrLoanMsg_Spec, &loan);
+    }
+}
+
 static void
 dispatch(LrDaemon *daemon, int tag, const void *message)
 {
@@ -189,6 +233,12 @@
     case LR_MSG_YIELD_NOTICE:
         LrYield_OnNotice(daemon->yield, message);
         break;
+    case LR_MSG_BORROW:
+        on_borrow(daemon, message);
+        break;
+    case LR_MSG_LOAN:
+        LrEngine_TakeLoan(daemon->engine, LrLoop_Now(), message);
+        break;
     default:
         break;
     }
@@ -284,6 +334,7 @@
     unsigned rank = LrMembers_ListRank(daemon->members, &count);
     LrEngine_SetShare(daemon->engine, now, rank, count);
     set_peers(daemon, now);
+    LrEngine_EachWanting(daemon->engine, now, ask_loans, daemon);
     LrDaemon_Settle(daemon);
 }
 
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1105,6 +1105,81 @@
     .n_fields = G_N_ELEMENTS(LrYieldNoticeMsg_Fields),
 };
 
+static const LrFieldSpec LrBorrowMsg_Fields[] = {
+    {.name = "entry",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrBorrowMsg, entry),
+     .hint = "catalogue entry",
+     .required = true},
+    {.name = "reply_to",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrBorrowMsg, reply_to),
+     .hint = "peer IP:port of the borrower",
+     .required = true},
+    {.name = "asked_at",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrBorrowMsg, asked_at),
+     .hint = "the borrower's clock, returned with the loan",
+     .required = true},
+    {.name = "concurrency",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrBorrowMsg, concurrency),
+     .hint = "requests at once that are wanted",
+     .min = 0,
+     .max = 1000000000,
+     .fallback = 0},
+    {.name = "rate",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrBorrowMsg, rate),
+     .hint = "requests a second that are wanted",
+     .min = 0,
+     .max = 1000000000,
+     .fallback = 0},
+};
+
+const LrObjectSpec LrBorrowMsg_Spec = {
+    .name = "LrBorrowMsg",
+    .size = sizeof(LrBorrowMsg),
+    .tag = 13,
+    .fields = LrBorrowMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrBorrowMsg_Fields),
+};
+
+static const LrFieldSpec LrLoanMsg_Fields[] = {
+    {.name = "entry",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrLoanMsg, entry),
+     .hint = "catalogue entry",
+     .required = true},
+    {.name = "asked_at",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrLoanMsg, asked_at),
+     .hint = "the borrower's clock when it asked",
+     .required = true},
+    {.name = "concurrency",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrLoanMsg, concurrency),
+     .hint = "requests at once",
+     .min = 0,
+     .max = 1000000000,
+     .fallback = 0},
+    {.name = "rate",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrLoanMsg, rate),
+     .hint = "requests a second",
+     .min = 0,
+     .max = 1000000000,
+     .fallback = 0},
+};
+
+const LrObjectSpec LrLoanMsg_Spec = {
+    .name = "LrLoanMsg",
+    .size = sizeof(LrLoanMsg),
+    .tag = 14,
+    .fields = LrLoanMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrLoanMsg_Fields),
+};
+
 const char *const LrCounterId_Names[] = {
     "queries",
     "complete",
@@ -1140,6 +1215,8 @@
     "relayed",
     "relay_served",
     "keys_taken_over",
+    "loans_given",
+    "loans_taken",
 };
 
 const char *const LrCounterId_Help[] = {
@@ -1177,6 +1254,8 @@
     "Shards asked of another daemon.",
     "Shards served for another daemon.",
     "Ledger rows taken over from coordinators that stopped.",
+    "Loans of entry limits given to peers.",
+    "Loans of entry limits taken from peers.",
 };
 
 /* clang-format on */
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -495,6 +495,36 @@
 extern const LrObjectSpec LrYieldNoticeMsg_Spec;
 #define LR_MSG_YIELD_NOTICE 12
 
+/* A daemon at its part of an entry's limits asks a peer for some of its own. */
+typedef struct {
+    /* catalogue entry */
+    LrStr entry;
+    /* peer IP:port of the borrower */
+    LrStr reply_to;
+    /* the borrower's clock, returned with the loan */
+    int64_t asked_at;
+    /* requests at once that are wanted */
+    int64_t concurrency;
+    /* requests a second that are wanted */
+    int64_t rate;
+} LrBorrowMsg;
+extern const LrObjectSpec LrBorrowMsg_Spec;
+#define LR_MSG_BORROW 13
+
+/* What a peer lends, for one lease from the time of asking. */
+typedef struct {
+    /* catalogue entry */
+    LrStr entry;
+    /* the borrower's clock when it asked */
+    int64_t asked_at;
+    /* requests at once */
+    int64_t concurrency;
+    /* requests a second */
+    int64_t rate;
+} LrLoanMsg;
+extern const LrObjectSpec LrLoanMsg_Spec;
+#define LR_MSG_LOAN 14
+
 /* Counters of a daemon. */
 typedef enum {
     LR_COUNT_QUERIES,
@@ -531,6 +561,8 @@
     LR_COUNT_RELAYED,
     LR_COUNT_RELAY_SERVED,
     LR_COUNT_KEYS_TAKEN_OVER,
+    LR_COUNT_LOANS_GIVEN,
+    LR_COUNT_LOANS_TAKEN,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -465,6 +465,30 @@
 /* Forgets reports and ejections that a gap in the clock made worthless. */
 void LrRouter_OnLateWakeup(LrRouter *router, LrTime now);
 
+/* lend.c: lending of a fleet-wide limit between daemons. */
+#define LR_LEASE (2 * LR_SECOND)
+enum { LR_MAX_LOANS = 32 };
+
+typedef struct {
+    int64_t amount;
+    LrTime until;
+} LrLoan;
+
+/* Zeroed at first. */
+typedef struct {
+    LrLoan lent[LR_MAX_LOANS];
+    LrLoan borrowed[LR_MAX_LOANS];
+} LrLend;
+
+/* What this daemon may use now, of a part that is its own. */
+int64_t LrLend_Effective(LrLend *lend, int64_t part, LrTime now);
+/* Lends some of what is spare; returns the amount, 0 for none. */
+int64_t LrLend_Give(LrLend *lend, int64_t part, int64_t used, int64_t wanted,
+                    LrTime now);
+/* Takes up a loan; false when its lease, counted from the time of asking, is
+ * over. */
+bool LrLend_Take(LrLend *lend, int64_t amount, LrTime asked_at, LrTime now);
+
 /* subset.c: which daemons talk to which shards. */
 typedef struct {
     LrStr name;
@@ -544,6 +568,11 @@
 typedef struct {
     uint32_t running;
     LrBucket rate;
+    LrLend lend_concurrency;
+    LrLend lend_rate;
+    /* Refused for want of a limit since it was last asked for. */
+    bool wants;
+    LrTime asked_at;
 } LrEntryState;
 
 struct LrEntry {
@@ -862,6 +891,17 @@
  * the daemons and their number. A larger part is taken up late. */
 void LrEngine_SetShare(LrEngine *engine, LrTime now, unsigned rank,
                        unsigned count);
+/* Calls func for each entry that was refused requests by its limits and has
+ * not asked for a loan within a quarter of a lease. */
+void LrEngine_EachWanting(LrEngine *engine, LrTime now,
+                          void (*func)(void *data, const LrEntrySpec *spec,
+                                       LrTime asked_at),
+                          void *data);
+/* A peer asks for some of this daemon's part; fills what is lent. */
+void LrEngine_Lend(LrEngine *engine, LrTime now, const LrBorrowMsg *ask,
+                   LrLoanMsg *loan);
+/* A peer lent. */
+void LrEngine_TakeLoan(LrEngine *engine, LrTime now, const LrLoanMsg *loan);
 /* Refuses new requests with reason stopping. */
 void LrEngine_Stop(LrEngine *engine);
 void LrAnswer_Free(LrAnswer *answer);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -350,6 +350,8 @@
                 "\"max_concurrency\":300,\"rate_per_s\":100000,"
                 "\"deadline_ms\":"
              << deadline_ms
+             << "},{\"name\":\"few\",\"owner\":\"o\",\"service\":\"s\","
+                "\"rate_per_s\":30,\"deadline_ms\":500"
              << "},{\"name\":\"order\",\"owner\":\"o\",\"service\":\"s\","
                 "\"max_concurrency\":300,\"rate_per_s\":100000,"
                 "\"idempotent\":false,\"deadline_ms\":3000}]}";
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -188,6 +188,20 @@
     EXPECT_EQ(fleet.runs(unused), 1);
 }
 
+TEST(Fleet, DaemonInDemandBorrowsFromTheOthers)
+{
+    Fleet fleet(27800, 3);
+    EXPECT_TRUE(eventually([&] {
+        for (int i = 0; i < 20; i++) {
+            http(fleet.callers(1, "/v1/query/few"), "{}");
+        }
+        return fleet.state_number(1, "counters", "loans_taken") > 0;
+    }));
+    EXPECT_GT(fleet.state_number(2, "counters", "loans_given") +
+                  fleet.state_number(3, "counters", "loans_given"),
+              0);
+}
+
 TEST(Fleet, QuarantineSpreads)
 {
     Fleet fleet(26900, 2);
--- /dev/null
+++ b/tests/test_lend.cc
@@ -0,0 +1,162 @@
+// Lending: the sum of what all daemons may use never exceeds the limit, over
+// messages that are delayed, lost and repeated, with pauses; and a skewed
+// demand gets most of the limit.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "lavenderrail.h"
+
+namespace {
+
+constexpr int64_t LIMIT = 100;
+constexpr int N = 8;
+
+struct Daemon {
+    LrLend lend = {};
+    int64_t used = 0;
+    LrTime paused_until = 0;
+};
+
+class Lending {
+  public:
+    explicit Lending(uint64_t seed) : random(LrRandom_New(seed))
+    {
+    }
+    ~Lending()
+    {
+        LrRandom_Free(random);
+    }
+
+    int64_t
+    part(int i) const
+    {
+        return LIMIT / N + (i < LIMIT % N);
+    }
+    int64_t
+    effective(int i)
+    {
+        return LrLend_Effective(&daemons[i].lend, part(i), now);
+    }
+    int64_t
+    sum()
+    {
+        int64_t total = 0;
+        for (int i = 0; i < N; i++) {
+            total += effective(i);
+        }
+        return total;
+    }
+    LrTime
+    delay()
+    {
+        return LR_MILLISECOND * (1 + LrRandom_Below(random, 1500));
+    }
+    void
+    post(int to, std::function<void()> what)
+    {
+        if (LrRandom_Unit(random) < loss) {
+            return;
+        }
+        int copies = LrRandom_Unit(random) < repeat ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            LrTime at = std::max(now + (slow ? delay() : LR_MILLISECOND),
+                                 daemons[to].paused_until);
+            events.emplace(at, what);
+        }
+    }
+    void
+    ask(int borrower)
+    {
+        LrTime asked_at = now;
+        for (int lender = 0; lender < N; lender++) {
+            if (lender == borrower) {
+                continue;
+            }
+            post(lender, [=, this] {
+                int64_t amount =
+                    LrLend_Give(&daemons[lender].lend, part(lender),
+                                daemons[lender].used, LIMIT, now);
+                post(borrower, [=, this] {
+                    LrLend_Take(&daemons[borrower].lend, amount, asked_at,
+                                now);
+                });
+            });
+        }
+    }
+    void
+    run(LrTime length)
+    {
+        LrTime end = now + length;
+        while (!events.empty() && events.begin()->first <= end) {
+            now = std::max(now, events.begin()->first);
+            auto what = std::move(events.begin()->second);
+            events.erase(events.begin());
+            what();
+            ASSERT_LE(sum(), LIMIT) << "at " << now;
+        }
+        now = end;
+    }
+
+    LrRandom *random;
+    Daemon daemons[N];
+    std::multimap<LrTime, std::function<void()>> events;
+    LrTime now = LR_SECOND;
+    double loss = 0, repeat = 0;
+    bool slow = false;
+};
+
+} // namespace
+
+TEST(Lend, SumNeverExceedsTheLimit)
+{
+    for (uint64_t seed = 1; seed <= 50; seed++) {
+        Lending lending(seed);
+        lending.loss = 0.1;
+        lending.slow = true;
+        for (int step = 0; step < 300; step++) {
+            int i = (int)LrRandom_Below(lending.random, N);
+            lending.daemons[i].used =
+                LrRandom_Below(lending.random, (uint32_t)lending.part(i));
+            if (step % 17 == 0) {
+                lending.daemons[i].paused_until = lending.now + 3 * LR_SECOND;
+            }
+            lending.ask((int)LrRandom_Below(lending.random, N));
+            ASSERT_NO_FATAL_FAILURE(lending.run(100 * LR_MILLISECOND));
+            ASSERT_LE(lending.sum(), LIMIT);
+        }
+    }
+}
+
+TEST(Lend, SkewedDemandGetsMostOfTheLimit)
+{
+    Lending lending(1);
+    int64_t total = 0;
+    int n = 0;
+    for (int step = 0; step < 200; step++) {
+        if (step % 5 == 0) {
+            lending.ask(3);
+        }
+        ASSERT_NO_FATAL_FAILURE(lending.run(100 * LR_MILLISECOND));
+        if (step >= 50) {
+            total += lending.effective(3);
+            n++;
+        }
+    }
+    double used = (double)total / n / LIMIT;
+    printf("used=%.3f of the limit\n", used);
+    EXPECT_GE(used, 0.85);
+}
+
+TEST(Lend, LateLoanIsNotTakenUp)
+{
+    LrLend lend = {};
+    EXPECT_FALSE(LrLend_Take(&lend, 5, LR_SECOND, LR_SECOND + LR_LEASE));
+    EXPECT_FALSE(LrLend_Take(&lend, 5, 2 * LR_SECOND, LR_SECOND))
+        << "asked in the future";
+    EXPECT_TRUE(LrLend_Take(&lend, 5, LR_SECOND, LR_SECOND + 1));
+    EXPECT_EQ(LrLend_Effective(&lend, 10, 2 * LR_SECOND), 15);
+    EXPECT_EQ(LrLend_Effective(&lend, 10, LR_SECOND + LR_LEASE), 10);
+}
