--- /dev/null
+++ b/tests/embed/embed.c
@@ -0,0 +1,31 @@
+/* A program that embeds the installed library: one request without any
+ * catalogue, answered as not run. */
+#include "lavenderrail.h"
+
+static int
+judge(const LrAnswer *answer)
+{
+    bool expected = answer->outcome == LR_OUTCOME_NOT_RUN &&
+                    answer->reason == LR_REASON_NO_CATALOGUE;
+    return expected ? 0 : 1;
+}
+
+int
+main(void)
+{
+    LrEngineConfig config = {.zone = LrStr_FromC("z"),
+                             .policy = &LrRoutePolicy_Estimate};
+    LrEngine *engine = LrEngine_New(&config);
+    LrRequest request = {.entry = LrStr_FromC("entry")};
+    LrAction action;
+    int status = 2;
+    LrEngine_Submit(engine, LR_SECOND, &request);
+    while (LrEngine_NextAction(engine, &action)) {
+        if (action.kind == LR_ACTION_ANSWER) {
+            status = judge(action.answer);
+            LrAnswer_Free(action.answer);
+        }
+    }
+    LrEngine_Free(engine);
+    return status;
+}
