--- a/tests/test_lend.cc
+++ b/tests/test_lend.cc
@@ -3,11 +3,7 @@
 // demand gets most of the limit.
 #include <gtest/gtest.h>
 
-#include <functional>
-#include <map>
-#include <vector>
-
-#include "lavenderrail.h"
+#include "events.h"
 
 namespace {
 
@@ -20,7 +16,7 @@
     LrTime paused_until = 0;
 };
 
-class Lending {
+class Lending : public Events {
   public:
     explicit Lending(uint64_t seed) : random(LrRandom_New(seed))
     {
@@ -62,9 +58,9 @@
         }
         int copies = LrRandom_Unit(random) < repeat ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            LrTime at = std::max(now + (slow ? delay() : LR_MILLISECOND),
-                                 daemons[to].paused_until);
-            events.emplace(at, what);
+            LrTime when = std::max(now + (slow ? delay() : LR_MILLISECOND),
+                                   daemons[to].paused_until);
+            at(when, what);
         }
     }
     void
@@ -87,23 +83,13 @@
         }
     }
     void
-    run(LrTime length)
+    advance(LrTime length)
     {
-        LrTime end = now + length;
-        while (!events.empty() && events.begin()->first <= end) {
-            now = std::max(now, events.begin()->first);
-            auto what = std::move(events.begin()->second);
-            events.erase(events.begin());
-            what();
-            ASSERT_LE(sum(), LIMIT) << "at " << now;
-        }
-        now = end;
+        run(length, [this] { ASSERT_LE(sum(), LIMIT) << "at " << now; });
     }
 
     LrRandom *random;
     Daemon daemons[N];
-    std::multimap<LrTime, std::function<void()>> events;
-    LrTime now = LR_SECOND;
     double loss = 0, repeat = 0;
     bool slow = false;
 };
@@ -124,7 +110,7 @@
                 lending.daemons[i].paused_until = lending.now + 3 * LR_SECOND;
             }
             lending.ask((int)LrRandom_Below(lending.random, N));
-            ASSERT_NO_FATAL_FAILURE(lending.run(100 * LR_MILLISECOND));
+            ASSERT_NO_FATAL_FAILURE(lending.advance(100 * LR_MILLISECOND));
             ASSERT_LE(lending.sum(), LIMIT);
         }
     }
@@ -139,7 +125,7 @@
         if (step % 5 == 0) {
             lending.ask(3);
         }
-        ASSERT_NO_FATAL_FAILURE(lending.run(100 * LR_MILLISECOND));
+        ASSERT_NO_FATAL_FAILURE(lending.advance(100 * LR_MILLISECOND));
         if (step >= 50) {
             total += lending.effective(3);
             n++;
--- a/tests/test_member.cc
+++ b/tests/test_member.cc
@@ -2,13 +2,12 @@
 // delays, drops, repeats, reorders and cuts, by a seeded generator.
 #include <gtest/gtest.h>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "lavenderrail.h"
+#include "events.h"
 
 namespace {
 
@@ -26,7 +25,7 @@
     LrTime paused_until = 0;
 };
 
-class Network {
+class Network : public Events {
   public:
     explicit Network(int n, uint64_t seed) : random(LrRandom_New(seed))
     {
@@ -139,25 +138,6 @@
         LrArena_Free(arena);
     }
 
-    void
-    at(LrTime when, std::function<void()> what)
-    {
-        events.emplace(when, std::move(what));
-    }
-
-    void
-    run(LrTime length)
-    {
-        LrTime end = now + length;
-        while (!events.empty() && events.begin()->first <= end) {
-            now = std::max(now, events.begin()->first);
-            auto what = std::move(events.begin()->second);
-            events.erase(events.begin());
-            what();
-        }
-        now = end;
-    }
-
     LrMemberState
     seen(int by, int whom)
     {
@@ -182,10 +162,8 @@
     LrHostList *list = nullptr;
     std::vector<std::unique_ptr<Node>> nodes;
     std::map<std::string, Node *> by_address;
-    std::multimap<LrTime, std::function<void()>> events;
     std::function<bool(int, int)> cut = [](int, int) { return false; };
     double loss = 0, repeat = 0;
-    LrTime now = LR_SECOND;
     uint64_t n_messages = 0, n_bytes = 0;
 };
 
