leaving: hosts: the host list comes to a few readers, its news to all

Cause: each of 650 daemons read the whole host list, 11 KB/s at the planned size against a bound of 6. Two daemons a zone read it now; what the others need rides on probes: that the list dropped a dead member, and the targets it calls leaving.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -206,16 +206,18 @@
     LrRouter *router = LrEngine_Router(daemon->engine);
     LrTime now = LrLoop_Now();
     LrMembers_OnHosts(daemon->members, list, now);
+    LrLeaving_Forget(daemon->leaving);
     for (size_t i = 0; i < list->spec.n_hosts; i++) {
         const LrHostSpec *host = &list->spec.hosts[i];
+        bool leaves = host->state == LR_HOST_LEAVING;
         LrTarget *target = LrRouter_Lookup(router, host->address);
-        if (!target) {
-            continue;
+        if (leaves && LrStr_EqualC(host->role, "target")) {
+            LrLeaving_Note(daemon->leaving, host->address, LR_NEVER);
         }
-        if (host->state == LR_HOST_LEAVING) {
+        if (target && leaves) {
             LrRouter_MarkLeaving(router, target, LR_SIGN_HOST_LIST, now);
         }
-        else {
+        else if (target) {
             LrRouter_ClearLeaving(router, target, LR_SIGN_HOST_LIST);
         }
     }
@@ -328,6 +330,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_sent);
     daemon->client = LrClient_New(loop, 0, (size_t)settings->max_body_bytes);
     start_timers(daemon);
+    daemon->leaving = LrLeaving_New();
     daemon->relay = LrRelay_New(daemon);
     daemon->yield = LrYield_New(daemon);
     daemon->forwarded = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -363,6 +366,7 @@
     g_hash_table_unref(daemon->sent);
     g_hash_table_unref(daemon->forwarded);
     LrRelay_Free(daemon->relay);
+    LrLeaving_Free(daemon->leaving);
     LrYield_Free(daemon->yield);
     g_free(daemon);
 }
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -42,6 +42,7 @@
     GHashTable *sent;
     LrPeers *peers;
     LrMembers *members;
+    LrLeaving *leaving;
     LrRelay *relay;
     LrYield *yield;
     GHashTable *forwarded;
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -7,7 +7,7 @@
 #include <jansson.h>
 
 /* Daemons of a zone that read the configuration service. */
-enum { READERS = 2, MAX_CONDEMNED = 4 };
+enum { READERS = 2, MAX_CONDEMNED = 4, MAX_LEAVING = 4 };
 
 /* An unanswered request for a delta is repeated after this time. */
 #define ASK_AGAIN (2 * LR_SECOND)
@@ -63,6 +63,10 @@
     LrProbeMsg whole = *message;
     whole.condemned = found.rows;
     whole.n_condemned = found.n;
+    LrLeavingMsg leaving[MAX_LEAVING];
+    whole.leaving = leaving;
+    whole.n_leaving =
+        LrLeaving_Pick(daemon->leaving, found.now, leaving, MAX_LEAVING);
     LrPeers_Send(daemon->peers, address, &LrProbeMsg_Spec, &whole);
 }
 
@@ -82,6 +86,21 @@
     }
 }
 
+static void
+take_leaving(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
+{
+    LrRouter *router = LrEngine_Router(daemon->engine);
+    for (size_t i = 0; i < message->n_leaving; i++) {
+        const LrLeavingMsg *row = &message->leaving[i];
+        LrTime left = MIN(row->left_ms * LR_MILLISECOND, LR_LEAVING_BELIEF);
+        LrTarget *target = LrRouter_Lookup(router, row->address);
+        LrLeaving_Note(daemon->leaving, row->address, now + left);
+        if (target) {
+            LrRouter_MarkLeaving(router, target, LR_SIGN_HOST_LIST, now);
+        }
+    }
+}
+
 static int64_t
 own_revision(const LrDaemon *daemon)
 {
@@ -113,6 +132,7 @@
     LrMembers_OnProbe(daemon->members, message, now);
     daemon->heard_at = now;
     take_condemned(daemon, message, now);
+    take_leaving(daemon, message, now);
     if (message->n_news > 0) {
         ask_if_newer(daemon, message, now);
     }
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -558,6 +558,11 @@
      .hint = "alive, suspect, dead or leaving",
      .choices = LrMemberState_Names,
      .fallback = 0},
+    {.name = "listed",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrMemberMsg, listed),
+     .hint = "whether the host list names it; false counts for a dead member only",
+     .fallback = 1},
 };
 
 const LrObjectSpec LrMemberMsg_Spec = {
@@ -591,6 +596,29 @@
     .n_fields = G_N_ELEMENTS(LrCondemnedMsg_Fields),
 };
 
+static const LrFieldSpec LrLeavingMsg_Fields[] = {
+    {.name = "address",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrLeavingMsg, address),
+     .hint = "IP:port of the target",
+     .required = true},
+    {.name = "left_ms",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrLeavingMsg, left_ms),
+     .hint = "time for which this is believed, milliseconds",
+     .required = true,
+     .min = 0,
+     .max = 3600000},
+};
+
+const LrObjectSpec LrLeavingMsg_Spec = {
+    .name = "LrLeavingMsg",
+    .size = sizeof(LrLeavingMsg),
+    .tag = 0,
+    .fields = LrLeavingMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrLeavingMsg_Fields),
+};
+
 static const LrFieldSpec LrProbeMsg_Fields[] = {
     {.name = "sequence",
      .kind = LR_FIELD_INT,
@@ -633,6 +661,12 @@
      .hint = "quarantined requests to spread",
      .count_offset = offsetof(LrProbeMsg, n_condemned),
      .object = &LrCondemnedMsg_Spec},
+    {.name = "leaving",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrProbeMsg, leaving),
+     .hint = "leaving targets to spread",
+     .count_offset = offsetof(LrProbeMsg, n_leaving),
+     .object = &LrLeavingMsg_Spec},
 };
 
 const LrObjectSpec LrProbeMsg_Spec = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -270,6 +270,8 @@
     int64_t serial;
     /* alive, suspect, dead or leaving */
     LrMemberState state;
+    /* whether the host list names it; false counts for a dead member only */
+    bool listed;
 } LrMemberMsg;
 extern const LrObjectSpec LrMemberMsg_Spec;
 
@@ -282,6 +284,15 @@
 } LrCondemnedMsg;
 extern const LrObjectSpec LrCondemnedMsg_Spec;
 
+/* A target that the host list calls leaving, spread with probes. */
+typedef struct {
+    /* IP:port of the target */
+    LrStr address;
+    /* time for which this is believed, milliseconds */
+    int64_t left_ms;
+} LrLeavingMsg;
+extern const LrObjectSpec LrLeavingMsg_Spec;
+
 /* Probe or its acknowledgement, with member and catalogue news. */
 typedef struct {
     /* matches an acknowledgement to its probe */
@@ -300,6 +311,9 @@
     /* quarantined requests to spread */
     LrCondemnedMsg *condemned;
     size_t n_condemned;
+    /* leaving targets to spread */
+    LrLeavingMsg *leaving;
+    size_t n_leaving;
 } LrProbeMsg;
 extern const LrObjectSpec LrProbeMsg_Spec;
 #define LR_MSG_PROBE 2
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -774,6 +774,19 @@
 /* Rank of this daemon among all that may be running, and their number. */
 unsigned LrMembers_ListRank(const LrMembers *members, unsigned *count);
 
+/* leaving.c: targets that the host list calls leaving. */
+#define LR_LEAVING_BELIEF (20 * LR_SECOND)
+typedef struct LrLeaving LrLeaving;
+
+LrLeaving *LrLeaving_New(void);
+void LrLeaving_Free(LrLeaving *leaving);
+void LrLeaving_Note(LrLeaving *leaving, LrStr address, LrTime until);
+/* Forgets all, before a new list is noted. */
+void LrLeaving_Forget(LrLeaving *leaving);
+/* Takes the next few in turn, to be spread; the addresses are borrowed. */
+size_t LrLeaving_Pick(LrLeaving *leaving, LrTime now, LrLeavingMsg *out,
+                      size_t most);
+
 /* engine.c: the queries of one daemon. Events go in, actions come out. */
 typedef struct LrEngine LrEngine;
 
@@ -1074,7 +1087,7 @@
 /* Values in force; revision 0 while there are none. */
 const LrStore *LrWatch_Store(const LrWatch *watch);
 int64_t LrWatch_RefusedRevision(const LrWatch *watch);
-/* Whether to read the configuration service. */
+/* Whether to read the configuration service and the host list. */
 void LrWatch_SetReading(LrWatch *watch, bool reading);
 /* Members for the state dump. */
 struct json_t *LrWatch_Dump(const LrWatch *watch);
--- a/liblavenderrail/member.c
+++ b/liblavenderrail/member.c
@@ -163,6 +163,16 @@
     LrCounters_Add(members->config.counters, LR_COUNT_MEMBERS_REFUTED, 1);
 }
 
+/* The host list dropped a dead member, as a reader of the list says. */
+static void
+take_listed(LrMembers *members, LrMember *member, const LrMemberMsg *claim)
+{
+    if (claim->state == LR_MEMBER_DEAD && member->listed && !claim->listed) {
+        member->listed = false;
+        member->news_left = spread_times(members);
+    }
+}
+
 static void
 take_claim(LrMembers *members, const LrMemberMsg *claim, LrTime now)
 {
@@ -179,9 +189,14 @@
             add_member(members, claim->name, claim->zone, claim->address, now);
         member->incarnation = -1;
     }
-    if (compare_claims(member, claim) <= 0) {
+    int order = compare_claims(member, claim);
+    if (order == 0) {
+        take_listed(members, member, claim);
+    }
+    if (order <= 0) {
         return;
     }
+    member->listed = claim->listed || claim->state != LR_MEMBER_DEAD;
     member->incarnation = claim->incarnation;
     member->serial = claim->serial;
     set_str(&member->zone, claim->zone);
@@ -189,27 +204,40 @@
     change_state(members, member, claim->state, now);
 }
 
-void
-LrMembers_OnHosts(LrMembers *members, const LrHostList *list, LrTime now)
+/* Notes on every member whether the list names it. */
+static void
+mark_listed(LrMembers *members, GHashTable *named)
 {
     for (guint i = 0; i < members->rows->len; i++) {
         LrMember *member = members->rows->pdata[i];
-        member->listed = member == members->self;
-        member->host_leaving = false;
+        bool listed = member == members->self ||
+                      g_hash_table_contains(named, &member->name);
+        if (member->listed && !listed) {
+            member->news_left = spread_times(members);
+        }
+        member->listed = listed;
     }
+}
+
+void
+LrMembers_OnHosts(LrMembers *members, const LrHostList *list, LrTime now)
+{
+    GHashTable *named = g_hash_table_new(LrStr_TableHash, LrStr_TableEqual);
     for (size_t i = 0; i < list->spec.n_hosts; i++) {
-        const LrHostSpec *host = &list->spec.hosts[i];
+        LrHostSpec *host = &list->spec.hosts[i];
         if (!LrStr_EqualC(host->role, "daemon")) {
             continue;
         }
+        g_hash_table_add(named, &host->name);
         LrMember *member = LrMembers_Lookup(members, host->name);
         if (!member) {
             member = add_member(members, host->name, host->zone, host->address,
                                 now);
         }
-        member->listed = true;
         member->host_leaving = host->state == LR_HOST_LEAVING;
     }
+    mark_listed(members, named);
+    g_hash_table_unref(named);
 }
 
 static LrMemberMsg
@@ -222,6 +250,7 @@
         .incarnation = MAX(0, member->incarnation),
         .serial = member->serial,
         .state = member->state,
+        .listed = member->listed,
     };
 }
 
@@ -418,7 +447,8 @@
         if (member->state == LR_MEMBER_SUSPECT) {
             change_state(members, member, LR_MEMBER_DEAD, now);
         }
-        else if (member->state == LR_MEMBER_DEAD && !member->listed) {
+        else if (member->state == LR_MEMBER_DEAD && !member->listed &&
+                 member->news_left == 0) {
             drop_member(members, member);
         }
     }
--- a/liblavenderrail/watch.c
+++ b/liblavenderrail/watch.c
@@ -335,6 +335,10 @@
 static void
 start_hosts(LrWatch *watch)
 {
+    if (!watch->reading && watch->hosts_revision > 0) {
+        schedule(&watch->hosts, watch->config.wait);
+        return;
+    }
     char *url = watch_url(watch, watch->config.hosts_url, "hosts",
                           watch->hosts_revision);
     send_get(watch, &watch->hosts, url, watch->config.wait + WATCH_SLACK,
@@ -360,11 +364,20 @@
     schedule(source, 0);
 }
 
+static void
+resume_source(Source *source)
+{
+    if (!source->transfer) {
+        schedule(source, source->watch->config.retry);
+    }
+}
+
 void
 LrWatch_SetReading(LrWatch *watch, bool reading)
 {
-    if (reading && !watch->reading && !watch->manifest.transfer) {
-        schedule(&watch->manifest, watch->config.retry);
+    if (reading && !watch->reading) {
+        resume_source(&watch->manifest);
+        resume_source(&watch->hosts);
     }
     watch->reading = reading;
 }
--- a/tests/test_member.cc
+++ b/tests/test_member.cc
@@ -258,3 +258,27 @@
     }
     EXPECT_LT(per_daemon[1], 1.5 * per_daemon[0]);
 }
+
+TEST(Member, HostThatTheListDropsIsDroppedByAll)
+{
+    Network net(10, 8);
+    net.run(5 * LR_SECOND);
+    net.nodes[3]->up = false;
+    net.run(60 * LR_SECOND);
+    EXPECT_EQ(net.count(3, LR_MEMBER_DEAD), 9);
+    EXPECT_EQ(LrMembers_Count(net.nodes[7]->members), 10u)
+        << "counted while the list names it";
+    std::string hosts = "{\"revision\":2,\"hosts\":[]}";
+    LrFaults *faults = LrFaults_New();
+    LrHostList *empty =
+        LrHostList_Parse(LrStr{hosts.data(), hosts.size()}, faults);
+    LrMembers_OnHosts(net.nodes[0]->members, empty, net.now);
+    net.run(60 * LR_SECOND);
+    for (int i = 0; i < 10; i++) {
+        if (i != 3) {
+            EXPECT_EQ(LrMembers_Count(net.nodes[i]->members), 9u) << i;
+        }
+    }
+    LrHostList_Free(empty);
+    LrFaults_Free(faults);
+}
