server: listen: a port in use stops the start

Cause: the new test of the command line hung: SO_REUSEPORT, which libmicrohttpd sets with its address-reuse option, let a second listener share the port, so that two daemons on one port would each have got half the callers. The option is gone; the default still allows a quick restart. Before: the start succeeds and the test never ends. Now: exit 1 with start_failed.

--- a/liblavenderrail/server.c
+++ b/liblavenderrail/server.c
@@ -288,8 +288,7 @@
         (struct sockaddr *)&address, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
         NULL, MHD_OPTION_CONNECTION_LIMIT, config->max_connections,
         MHD_OPTION_CONNECTION_TIMEOUT, config->idle_timeout_s,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-        1024U, MHD_OPTION_END);
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
     if (!server->daemon) {
         g_set_error(error, LR_ERROR, LR_ERROR_SOCKET,
                     "cannot listen on %.*s: %s", (int)config->address.len,
--- /dev/null
+++ b/tests/test_cli.cc
@@ -0,0 +1,129 @@
+// Command lines of the programs: settings, verdicts, exit codes.
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <sys/wait.h>
+
+#include <gtest/gtest.h>
+
+struct Output {
+    int status;
+    std::string text;
+};
+
+// Runs a program by the shell, with both of its outputs.
+static Output
+run(const std::string &command)
+{
+    Output output = {-1, ""};
+    FILE *pipe = popen((command + " 2>&1").c_str(), "r");
+    std::array<char, 4096> buffer;
+    while (size_t got = fread(buffer.data(), 1, buffer.size(), pipe)) {
+        output.text.append(buffer.data(), got);
+    }
+    int status = pclose(pipe);
+    output.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return output;
+}
+
+static bool
+has(const Output &output, const char *text)
+{
+    return output.text.find(text) != std::string::npos;
+}
+
+static const std::string BIN = LR_BIN "/";
+static const std::string GOOD =
+    "--name a --zone z --config-url http://127.0.0.1:1 "
+    "--hosts-url http://127.0.0.1:1 --check-settings";
+
+TEST(Cli, EveryProgramHasHelpAndVersion)
+{
+    for (const char *name :
+         {"lavenderraild", "lavenderrail", "lr-standin", "lr-bench"}) {
+        EXPECT_EQ(run(BIN + name + " --help").status, 0) << name;
+        Output version = run(BIN + name + " --version");
+        EXPECT_EQ(version.status, 0) << name;
+        EXPECT_TRUE(has(version, "0.1.0")) << name;
+    }
+}
+
+TEST(Cli, SettingsAreChecked)
+{
+    std::string daemon = BIN + "lavenderraild ";
+    EXPECT_EQ(run(daemon + GOOD).status, 0);
+    struct {
+        const char *more, *expected;
+    } rows[] = {
+        {" --listen localhost:1", "--listen: is no address"},
+        {" --listen 127.0.0.1:99999", "--listen: is no address"},
+        {" --probe-ms x", "--probe-ms: cannot be read"},
+        {" --hedge-share 2", "--hedge-share: is 2, outside 0 to 1"},
+        {" --nonsense 1", "nonsense"},
+    };
+    for (const auto &row : rows) {
+        Output output = run(daemon + GOOD + row.more);
+        EXPECT_EQ(output.status, 2) << row.more;
+        EXPECT_TRUE(has(output, row.expected))
+            << row.more << ": " << output.text;
+    }
+    Output missing = run(daemon + "--check-settings");
+    EXPECT_EQ(missing.status, 2);
+    EXPECT_TRUE(has(missing, "--name: is missing"));
+    EXPECT_TRUE(has(missing, "--hosts-url: is missing")) << "all at once";
+}
+
+TEST(Cli, FlagsGoBeforeTheEnvironment)
+{
+    std::string daemon = BIN + "lavenderraild " + GOOD;
+    EXPECT_EQ(run("LAVENDERRAIL_PROBE_MS=x " + daemon).status, 2);
+    EXPECT_EQ(
+        run("LAVENDERRAIL_PROBE_MS=x " + daemon + " --probe-ms 100").status,
+        0);
+    EXPECT_EQ(run("LAVENDERRAIL_NAME=a LAVENDERRAIL_ZONE=z "
+                  "LAVENDERRAIL_CONFIG_URL=http://127.0.0.1:1 "
+                  "LAVENDERRAIL_HOSTS_URL=http://127.0.0.1:1 " +
+                  BIN + "lavenderraild --check-settings")
+                  .status,
+              0);
+}
+
+TEST(Cli, CheckAndDiffGiveVerdicts)
+{
+    std::string tool = BIN + "lavenderrail ";
+    std::string cucu = LR_SOURCE "/examples/cucu/catalogue.json";
+    std::string banquina = LR_SOURCE "/examples/banquina/catalogue.json";
+    EXPECT_EQ(run(tool + "check " + cucu).status, 0);
+    EXPECT_EQ(run(tool + "check " + banquina).status, 0);
+    EXPECT_EQ(run(tool + "check /dev/null").status, 1);
+    EXPECT_EQ(run(tool + "check /no/such/file").status, 1);
+    EXPECT_EQ(run(tool + "diff " + cucu + " " + cucu).text, "");
+    Output diff = run(tool + "diff " + cucu + " " + banquina);
+    EXPECT_TRUE(has(diff, "- $.entries[part-order]"));
+    EXPECT_TRUE(has(diff, "+ $.entries[crew-dispatch]"));
+}
+
+TEST(Cli, WrongUseIsExitTwoAndNoDaemonIsExitOne)
+{
+    std::string tool = BIN + "lavenderrail ";
+    EXPECT_EQ(run(tool).status, 2);
+    EXPECT_EQ(run(tool + "frobnicate").status, 2);
+    EXPECT_EQ(run(tool + "query only-an-entry").status, 2);
+    EXPECT_EQ(run(tool + "--daemon http://127.0.0.1:9 key").status, 1);
+    EXPECT_EQ(run(BIN + "lr-bench policy --scenario none").status, 2);
+    EXPECT_EQ(run(BIN + "lr-standin").status, 2);
+}
+
+TEST(Cli, PortInUseStopsTheStartWithOneLine)
+{
+    Output output = run("timeout 5 " + BIN +
+                        "lavenderraild --name a --zone z "
+                        "--config-url http://127.0.0.1:1 "
+                        "--hosts-url http://127.0.0.1:1 "
+                        "--listen 127.0.0.1:24901 "
+                        "--operator-listen 127.0.0.1:24901 "
+                        "--peer-listen 127.0.0.1:24902");
+    EXPECT_EQ(output.status, 1);
+    EXPECT_TRUE(has(output, "event=start_failed")) << output.text;
+}
