member, store: reading: drop fields nothing reads, one digest text

Cause: the reading of the whole change found two fields that were written and never read (a member's leaving mark from the host list, the bench's count of urgent useful answers), the digest's text made twice, and a comment that told something else than its constant.

--- a/bench/check.c
+++ b/bench/check.c
@@ -69,7 +69,6 @@
     result->n_useful += useful;
     g_array_append_val(result->latencies, ms);
     if (request->urgent) {
-        result->n_urgent_useful += useful;
         g_array_append_val(result->urgent_latencies, ms);
     }
 }
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -98,7 +98,6 @@
     uint64_t n_answers;
     uint64_t n_refused;
     uint64_t n_useful;
-    uint64_t n_urgent_useful;
     uint64_t n_parts;
     uint64_t n_parts_answered;
     uint64_t false_coverage;
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -732,7 +732,6 @@
     LrMemberState state;
     LrTime since;
     bool listed;
-    bool host_leaving;
     bool in_message;
     unsigned news_left;
 } LrMember;
--- a/liblavenderrail/member.c
+++ b/liblavenderrail/member.c
@@ -229,12 +229,9 @@
             continue;
         }
         g_hash_table_add(named, &host->name);
-        LrMember *member = LrMembers_Lookup(members, host->name);
-        if (!member) {
-            member = add_member(members, host->name, host->zone, host->address,
-                                now);
+        if (!LrMembers_Lookup(members, host->name)) {
+            add_member(members, host->name, host->zone, host->address, now);
         }
-        member->host_leaving = host->state == LR_HOST_LEAVING;
     }
     mark_listed(members, named);
     g_hash_table_unref(named);
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -1,7 +1,7 @@
 /* The path of a query: admit, resolve, plan, send, gather, answer. */
 #include "private.h"
 
-/* Answers within this time of each other count as one wake-up. */
+/* Least time until the timer of a query's next hedge. */
 #define MIN_TIMER_STEP (50 * LR_MICROSECOND)
 
 enum { MAX_RESTARTS = 2 };
--- a/liblavenderrail/store.c
+++ b/liblavenderrail/store.c
@@ -219,6 +219,14 @@
     return digest;
 }
 
+/* The digest as deltas carry it. */
+static char *
+digest_text(const LrStore *store)
+{
+    return g_strdup_printf("%016" G_GINT64_MODIFIER "x",
+                           LrStore_Digest(store));
+}
+
 typedef struct {
     int64_t since;
     LrValueMsg *items;
@@ -263,8 +271,7 @@
         add_change(&changes, store->removed->pdata[i]);
     }
     g_tree_foreach(store->values, add_changed, &changes);
-    g_autofree char *digest =
-        g_strdup_printf("%016" G_GINT64_MODIFIER "x", LrStore_Digest(store));
+    g_autofree char *digest = digest_text(store);
     delta->since = since;
     delta->revision = store->revision;
     delta->digest = LrArena_Copy(arena, LrStr_FromC(digest));
@@ -275,8 +282,7 @@
 static bool
 digest_matches(const LrStore *store, LrStr expected)
 {
-    g_autofree char *digest =
-        g_strdup_printf("%016" G_GINT64_MODIFIER "x", LrStore_Digest(store));
+    g_autofree char *digest = digest_text(store);
     return LrStr_EqualC(expected, digest);
 }
 
