--- a/cli/lavenderraild.c
+++ b/cli/lavenderraild.c
@@ -3,11 +3,25 @@
 #include <stdlib.h>
 
 #include <ev.h>
+#include <string.h>
 
-#include "lavenderrail.h"
+#include "platform.h"
+
+/* A settings file that changes without a signal is noticed in this time. */
+#define RELOAD_SECONDS 2.0
+
+static const LrDeployment *const DEPLOYMENTS[] = {
+    &LrDeployment_Native,
+    &LrDeployment_Platform,
+};
 
 typedef struct {
     LrDaemon *daemon;
+    LrLog *log;
+    LrSettingsSource source;
+    char *file_text;
+    ev_timer check;
+    ev_signal hangup;
     ev_signal term;
     ev_signal interrupt;
     ev_signal dump;
@@ -43,14 +57,106 @@
     ev_signal_start(loop, watcher);
 }
 
+/* Text of the settings file; NULL when there is none. */
+static char *
+read_file(const LrSettingsSource *source)
+{
+    char *text = NULL;
+    if (source->file) {
+        g_file_get_contents(source->file, &text, NULL, NULL);
+    }
+    return text;
+}
+
+static void
+reload(Program *program)
+{
+    LrSettings settings;
+    LrArena *arena = LrArena_New();
+    int status;
+    if (LrSettings_Load(&settings, arena, &program->source, &status)) {
+        LrDaemon_Reload(program->daemon, &settings);
+    }
+    else {
+        LR_LOG(program->log, LOG_ERR, "reload_failed",
+               LrLog_C("file",
+                       program->source.file ? program->source.file : "none"));
+    }
+    LrArena_Free(arena);
+}
+
+static void
+on_hangup(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    reload(watcher->data);
+}
+
+static void
+on_check(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    Program *program = timer->data;
+    char *text = read_file(&program->source);
+    if (g_strcmp0(text, program->file_text) == 0) {
+        g_free(text);
+        return;
+    }
+    g_free(program->file_text);
+    program->file_text = text;
+    reload(program);
+}
+
+static const LrDeployment *
+lookup_deployment(LrStr name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(DEPLOYMENTS); i++) {
+        if (LrStr_EqualC(name, DEPLOYMENTS[i]->name)) {
+            return DEPLOYMENTS[i];
+        }
+    }
+    return NULL;
+}
+
+/* The settings file that a deployment's environment names. */
+static const char *
+settings_file(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(DEPLOYMENTS); i++) {
+        const char *variable = DEPLOYMENTS[i]->settings_variable;
+        const char *file = variable ? getenv(variable) : NULL;
+        if (file) {
+            return file;
+        }
+    }
+    return NULL;
+}
+
+static void
+watch_file(struct ev_loop *loop, Program *program)
+{
+    program->file_text = read_file(&program->source);
+    ev_timer_init(&program->check, on_check, RELOAD_SECONDS, RELOAD_SECONDS);
+    program->check.data = program;
+    if (program->source.file) {
+        ev_timer_start(loop, &program->check);
+    }
+    watch_signal(loop, &program->hangup, SIGHUP, on_hangup, program);
+}
+
 static int
-run(const LrSettings *settings)
+run(const LrSettings *settings, const LrDeployment *deployment,
+    const LrSettingsSource *source)
 {
     struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
-    LrLog *log = LrLog_New(stderr, (int)settings->log_level);
+    LrLog *log = LrLog_New(stdout, (int)settings->log_level);
     GError *error = NULL;
     Program program = {
-        .daemon = LrDaemon_New(loop, settings, log, &error),
+        .daemon = LrDaemon_New(loop, settings, deployment, log, &error),
+        .log = log,
+        .source = *source,
     };
     int status = EXIT_SUCCESS;
     if (!program.daemon) {
@@ -63,7 +169,9 @@
         watch_signal(loop, &program.term, SIGTERM, on_stop, &program);
         watch_signal(loop, &program.interrupt, SIGINT, on_stop, &program);
         watch_signal(loop, &program.dump, SIGUSR1, on_dump, &program);
+        watch_file(loop, &program);
         ev_run(loop, 0);
+        g_free(program.file_text);
         LrDaemon_Free(program.daemon);
     }
     LrLog_Free(log);
@@ -76,8 +184,24 @@
     LrSettings settings;
     LrArena *arena = LrArena_New();
     int status;
-    if (LrSettings_Load(&settings, arena, argc, argv, &status)) {
-        status = run(&settings);
+    LrSettingsSource source = {
+        .argc = argc,
+        .argv = argv,
+        .file = settings_file(),
+    };
+    if (LrSettings_Load(&settings, arena, &source, &status)) {
+        const LrDeployment *deployment = lookup_deployment(settings.contract);
+        if (deployment) {
+            status = run(&settings, deployment, &source);
+        }
+        else {
+            fprintf(stderr,
+                    "--contract: names no contract: '%.*s' (known:"
+                    " native, platform)\n",
+                    (int)MIN(settings.contract.len, 64),
+                    settings.contract.ptr);
+            status = 2;
+        }
     }
     LrArena_Free(arena);
     return status;
--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -36,6 +36,23 @@
     return state->running < places && LrBucket_Take(&state->rate, now);
 }
 
+/* Whether enough shards have a replica to make an answer. */
+static bool
+can_suffice(const LrQuery *query, LrTime now)
+{
+    const LrEntrySpec *spec = query->entry->spec;
+    const LrMap *map = query->entry->service->maps;
+    if (!spec->strict_coverage) {
+        return true;
+    }
+    size_t n_served = 0;
+    for (size_t i = 0; i < map->n_groups; i++) {
+        n_served += LrRouter_IsServed(&map->groups[i], now);
+    }
+    return n_served > 0 &&
+           (double)n_served >= spec->min_coverage * (double)map->n_groups;
+}
+
 LrReason
 LrAdmission_Check(LrEngine *engine, LrQuery *query, LrTime now)
 {
@@ -52,6 +69,9 @@
     if (query->shard.len > 0) {
         return LR_REASON_NONE;
     }
+    if (!can_suffice(query, now)) {
+        return LR_REASON_NO_REPLICA;
+    }
     if (!take_limits(engine, query->entry, now)) {
         query->entry->state->wants = true;
         return LR_REASON_ENTRY_LIMIT;
--- a/liblavenderrail/attempt.c
+++ b/liblavenderrail/attempt.c
@@ -53,21 +53,47 @@
     return attempt->id == id && attempt->part ? attempt : NULL;
 }
 
-void
-LrAttempt_Free(LrEngine *engine, LrAttempt *attempt)
+static void
+leave_part(LrAttempt *attempt)
 {
     LrPart *part = attempt->part;
-    LrTarget *target = attempt->target;
-    for (unsigned i = 0; i < part->n_live; i++) {
+    for (unsigned i = 0; part && i < part->n_live; i++) {
         if (part->live[i] == attempt) {
             part->live[i] = part->live[--part->n_live];
             break;
         }
     }
+    attempt->part = NULL;
+}
+
+void
+LrAttempt_Withdraw(LrAttempt *attempt, LrTime typical)
+{
+    leave_part(attempt);
+    attempt->typical = typical;
+    attempt->target->refs++;
+}
+
+LrAttempt *
+LrAttempt_LookupWithdrawn(LrEngine *engine, uint64_t id)
+{
+    guint place = (guint)(id & PLACE_MASK);
+    if (place >= engine->attempts->len) {
+        return NULL;
+    }
+    LrAttempt *attempt = engine->attempts->pdata[place];
+    bool withdrawn = attempt->id == id && !attempt->part && attempt->target;
+    return withdrawn ? attempt : NULL;
+}
+
+void
+LrAttempt_Free(LrEngine *engine, LrAttempt *attempt)
+{
+    LrTarget *target = attempt->target;
+    leave_part(attempt);
     TAILQ_REMOVE(&target->attempts, attempt, of_target);
     target->in_flight--;
     target->suspects -= attempt->suspect;
-    attempt->part = NULL;
     attempt->target = NULL;
     guint place = (guint)(attempt->id & PLACE_MASK);
     g_array_append_val(engine->free_attempts, place);
--- /dev/null
+++ b/liblavenderrail/callers.c
@@ -0,0 +1,563 @@
+/* Connections of callers, on a libev loop. */
+#include "callers.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ev.h>
+
+enum {
+    BACKLOG = 1024,
+    ACCEPTS_A_TURN = 64,
+    READ_CHUNK = 16384,
+    /* Bytes kept of requests that are sent ahead of an answer. */
+    MAX_AHEAD = 65536,
+};
+
+/* Time for a caller to read an answer that closes its connection. */
+#define LINGER LR_SECOND
+
+typedef enum {
+    CONN_READING,
+    CONN_BUSY,
+    CONN_WRITING,
+    CONN_LINGERING,
+} ConnState;
+
+typedef struct Conn Conn;
+
+struct LrCall {
+    Conn *conn;
+    LrTime arrived_at;
+    void *data;
+};
+
+struct Conn {
+    LrCallers *callers;
+    int fd;
+    int refs;
+    bool closed;
+    ConnState state;
+    ev_io io;
+    int events;
+    LrMessage *message;
+    GByteArray *ahead;
+    GByteArray *out;
+    size_t n_written;
+    bool close_after;
+    bool continue_sent;
+    LrCall call;
+    LrTimer timer;
+    TAILQ_ENTRY(Conn) of_callers;
+};
+
+struct LrCallers {
+    LrCallersConfig config;
+    LrCallerLimits limits;
+    int listener;
+    ev_io acceptable;
+    bool draining;
+    size_t n_open;
+    TAILQ_HEAD(, Conn) conns;
+};
+
+static void pump(Conn *conn);
+
+static void
+unref_conn(Conn *conn)
+{
+    if (--conn->refs > 0) {
+        return;
+    }
+    LrMessage_Free(conn->message);
+    g_byte_array_unref(conn->ahead);
+    g_byte_array_unref(conn->out);
+    g_free(conn);
+}
+
+static void
+close_conn(Conn *conn)
+{
+    if (conn->closed) {
+        return;
+    }
+    LrCallers *callers = conn->callers;
+    conn->closed = true;
+    ev_io_stop(callers->config.loop, &conn->io);
+    LrLoopTimers_Clear(callers->config.timers, &conn->timer);
+    close(conn->fd);
+    TAILQ_REMOVE(&callers->conns, conn, of_callers);
+    callers->n_open--;
+    unref_conn(conn);
+}
+
+static void
+watch_events(Conn *conn, int events)
+{
+    if (conn->events == events) {
+        return;
+    }
+    struct ev_loop *loop = conn->callers->config.loop;
+    ev_io_stop(loop, &conn->io);
+    conn->events = events;
+    ev_io_set(&conn->io, conn->fd, events);
+    if (events) {
+        ev_io_start(loop, &conn->io);
+    }
+}
+
+static void
+set_timer(Conn *conn, LrTime after)
+{
+    LrLoopTimers_Set(conn->callers->config.timers, &conn->timer,
+                     LrLoop_Now() + after);
+}
+
+static void
+start_lingering(Conn *conn)
+{
+    conn->state = CONN_LINGERING;
+    shutdown(conn->fd, SHUT_WR);
+    watch_events(conn, EV_READ);
+    set_timer(conn, LINGER);
+}
+
+static void
+start_reading(Conn *conn)
+{
+    conn->state = CONN_READING;
+    conn->continue_sent = false;
+    LrMessage_Reset(conn->message);
+    watch_events(conn, EV_READ);
+    set_timer(conn, conn->callers->limits.idle_timeout);
+}
+
+/* Writes what it can; false when the connection was closed. */
+static bool
+flush(Conn *conn)
+{
+    size_t left = conn->out->len - conn->n_written;
+    ssize_t sent = send(conn->fd, conn->out->data + conn->n_written, left,
+                        MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+        close_conn(conn);
+        return false;
+    }
+    conn->n_written += sent > 0 ? (size_t)sent : 0;
+    if (conn->n_written < conn->out->len) {
+        watch_events(conn, EV_WRITE);
+        return true;
+    }
+    g_byte_array_set_size(conn->out, 0);
+    conn->n_written = 0;
+    if (conn->state != CONN_WRITING) {
+        return true;
+    }
+    if (conn->close_after) {
+        start_lingering(conn);
+    }
+    else {
+        start_reading(conn);
+    }
+    return true;
+}
+
+static void
+append_text(GByteArray *out, const char *text)
+{
+    g_byte_array_append(out, (const guint8 *)text, (guint)strlen(text));
+}
+
+static bool
+has_no_length(const Conn *conn, const GString *head)
+{
+    static const char no_content[] = "HTTP/1.1 204";
+    static const char not_modified[] = "HTTP/1.1 304";
+    return LrStr_EqualC(LrMessage_Method(conn->message), "HEAD") ||
+           g_str_has_prefix(head->str, no_content) ||
+           g_str_has_prefix(head->str, not_modified);
+}
+
+static void
+send_reply(Conn *conn, const GString *head, GBytes *body, bool close)
+{
+    LrStr text = LrStr_FromBytes(body);
+    conn->state = CONN_WRITING;
+    conn->close_after =
+        close || conn->callers->draining || !LrMessage_IsKept(conn->message);
+    g_byte_array_append(conn->out, (const guint8 *)head->str,
+                        (guint)head->len);
+    if (!has_no_length(conn, head)) {
+        char line[48];
+        g_snprintf(line, sizeof(line), "Content-Length: %zu\r\n", text.len);
+        append_text(conn->out, line);
+    }
+    if (conn->close_after) {
+        append_text(conn->out, "Connection: close\r\n");
+    }
+    append_text(conn->out, "\r\n");
+    if (!LrStr_EqualC(LrMessage_Method(conn->message), "HEAD")) {
+        g_byte_array_append(conn->out, (const guint8 *)text.ptr,
+                            (guint)text.len);
+    }
+    if (body) {
+        g_bytes_unref(body);
+    }
+    set_timer(conn, conn->callers->limits.idle_timeout);
+    flush(conn);
+}
+
+void
+LrCall_Reply(LrCall *call, const GString *head, GBytes *body, bool close)
+{
+    Conn *conn = call->conn;
+    conn->refs++;
+    send_reply(conn, head, body, close);
+    if (!conn->closed && conn->state == CONN_READING) {
+        pump(conn);
+    }
+    unref_conn(conn);
+}
+
+static void
+refuse(Conn *conn, unsigned status)
+{
+    LrCallersHandler *handler = &conn->callers->config.handler;
+    GString *head = g_string_new(NULL);
+    LrCounters_Add(conn->callers->config.counters, LR_COUNT_CALLER_ERRORS, 1);
+    handler->refuse(handler->data, status, head);
+    send_reply(conn, head, NULL, true);
+    g_string_free(head, TRUE);
+}
+
+static unsigned
+status_of(LrMessageState state)
+{
+    static const unsigned statuses[] = {
+        [LR_MESSAGE_MALFORMED] = 400,
+        [LR_MESSAGE_HEAD_TOO_LARGE] = 431,
+        [LR_MESSAGE_BODY_TOO_LARGE] = 413,
+    };
+    return statuses[state];
+}
+
+static void
+send_continue(Conn *conn)
+{
+    LrStr expect = LrMessage_Header(conn->message, "Expect");
+    if (conn->continue_sent || !LrHeader_IsNamed(expect, "100-continue")) {
+        return;
+    }
+    conn->continue_sent = true;
+    append_text(conn->out, "HTTP/1.1 100 Continue\r\n\r\n");
+    flush(conn);
+}
+
+static void
+hand_over(Conn *conn)
+{
+    LrCallersHandler *handler = &conn->callers->config.handler;
+    conn->state = CONN_BUSY;
+    conn->call = (LrCall){.conn = conn, .arrived_at = LrLoop_Now()};
+    LrLoopTimers_Clear(conn->callers->config.timers, &conn->timer);
+    handler->request(handler->data, &conn->call);
+}
+
+/* Reads requests out of the bytes that have come. */
+static void
+pump(Conn *conn)
+{
+    while (!conn->closed && conn->state == CONN_READING &&
+           conn->ahead->len > 0) {
+        bool started = LrMessage_IsStarted(conn->message);
+        size_t used;
+        LrMessageState state =
+            LrMessage_Feed(conn->message, (const char *)conn->ahead->data,
+                           conn->ahead->len, &used);
+        g_byte_array_remove_range(conn->ahead, 0, (guint)used);
+        if (!started) {
+            set_timer(conn, conn->callers->limits.receive_timeout);
+        }
+        if (state == LR_MESSAGE_COMPLETE) {
+            hand_over(conn);
+        }
+        else if (state != LR_MESSAGE_PARTIAL) {
+            refuse(conn, status_of(state));
+        }
+        else if (LrMessage_HasHead(conn->message)) {
+            send_continue(conn);
+        }
+    }
+}
+
+static void
+on_end(Conn *conn)
+{
+    LrCallers *callers = conn->callers;
+    if (conn->state == CONN_BUSY) {
+        LrCounters_Add(callers->config.counters, LR_COUNT_CALLER_GONE, 1);
+        callers->config.handler.gone(callers->config.handler.data,
+                                     &conn->call);
+    }
+    close_conn(conn);
+}
+
+static void
+on_readable(Conn *conn)
+{
+    guint8 chunk[READ_CHUNK];
+    ssize_t got = recv(conn->fd, chunk, sizeof(chunk), MSG_DONTWAIT);
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (got <= 0) {
+        on_end(conn);
+        return;
+    }
+    if (conn->state == CONN_LINGERING) {
+        return;
+    }
+    g_byte_array_append(conn->ahead, chunk, (guint)got);
+    if (conn->state == CONN_READING) {
+        pump(conn);
+    }
+    else if (conn->ahead->len > MAX_AHEAD) {
+        watch_events(conn, conn->events & ~EV_READ);
+    }
+}
+
+static void
+on_ready(struct ev_loop *loop, ev_io *io, int events)
+{
+    (void)loop;
+    Conn *conn = io->data;
+    conn->refs++;
+    if (events & EV_WRITE) {
+        if (flush(conn) && conn->state == CONN_READING) {
+            pump(conn);
+        }
+    }
+    if (!conn->closed && (events & EV_READ)) {
+        on_readable(conn);
+    }
+    unref_conn(conn);
+}
+
+static void
+on_timer(void *data, LrTime now)
+{
+    (void)now;
+    Conn *conn = data;
+    if (conn->state == CONN_READING && LrMessage_IsStarted(conn->message)) {
+        refuse(conn, 408);
+        return;
+    }
+    close_conn(conn);
+}
+
+static void
+add_conn(LrCallers *callers, int fd)
+{
+    int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    Conn *conn = g_new0(Conn, 1);
+    conn->callers = callers;
+    conn->fd = fd;
+    conn->refs = 1;
+    conn->message = LrMessage_NewRequest();
+    LrMessage_SetBounds(conn->message, callers->limits.max_head_bytes,
+                        callers->limits.max_body_bytes);
+    conn->ahead = g_byte_array_new();
+    conn->out = g_byte_array_new();
+    conn->timer = (LrTimer){.func = on_timer, .data = conn};
+    ev_io_init(&conn->io, on_ready, fd, 0);
+    conn->io.data = conn;
+    TAILQ_INSERT_TAIL(&callers->conns, conn, of_callers);
+    callers->n_open++;
+    start_reading(conn);
+}
+
+static void
+on_acceptable(struct ev_loop *loop, ev_io *io, int events)
+{
+    (void)loop;
+    (void)events;
+    LrCallers *callers = io->data;
+    for (int i = 0; i < ACCEPTS_A_TURN; i++) {
+        int fd = accept4(callers->listener, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        if (callers->n_open >= callers->config.max_connections) {
+            LR_LOG(callers->config.log, LOG_WARNING, "caller_turned_away",
+                   LrLog_C("why", "too many connections"),
+                   LrLog_Int("open", (int64_t)callers->n_open));
+            close(fd);
+            continue;
+        }
+        add_conn(callers, fd);
+    }
+}
+
+static int
+listen_on(LrStr address, GError **error)
+{
+    char host[INET_ADDRSTRLEN];
+    struct sockaddr_in at = {.sin_family = AF_INET};
+    uint16_t port;
+    int on = 1;
+    if (!LrStr_ToAddress(address, host, sizeof(host), &port) ||
+        inet_pton(AF_INET, host, &at.sin_addr) != 1) {
+        g_set_error(error, LR_ERROR, LR_ERROR_ADDRESS,
+                    "no IPv4 address: '%.*s'", (int)address.len, address.ptr);
+        return -1;
+    }
+    at.sin_port = htons(port);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&at, sizeof(at)) < 0 ||
+        listen(fd, BACKLOG) < 0) {
+        g_set_error(error, LR_ERROR, LR_ERROR_SOCKET,
+                    "cannot listen on %.*s: %s", (int)address.len, address.ptr,
+                    g_strerror(errno));
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+LrCallers *
+LrCallers_New(const LrCallersConfig *config, GError **error)
+{
+    int listener = listen_on(config->address, error);
+    if (listener < 0) {
+        return NULL;
+    }
+    LrCallers *callers = g_new0(LrCallers, 1);
+    callers->config = *config;
+    callers->listener = listener;
+    TAILQ_INIT(&callers->conns);
+    ev_io_init(&callers->acceptable, on_acceptable, listener, EV_READ);
+    callers->acceptable.data = callers;
+    ev_io_start(config->loop, &callers->acceptable);
+    return callers;
+}
+
+void
+LrCallers_SetLimits(LrCallers *callers, const LrCallerLimits *limits)
+{
+    callers->limits = *limits;
+    Conn *conn;
+    TAILQ_FOREACH(conn, &callers->conns, of_callers)
+    {
+        LrMessage_SetBounds(conn->message, limits->max_head_bytes,
+                            limits->max_body_bytes);
+    }
+}
+
+void
+LrCallers_Drain(LrCallers *callers)
+{
+    callers->draining = true;
+}
+
+static void
+stop_listening(LrCallers *callers)
+{
+    if (callers->listener < 0) {
+        return;
+    }
+    ev_io_stop(callers->config.loop, &callers->acceptable);
+    close(callers->listener);
+    callers->listener = -1;
+}
+
+static bool
+is_idle(const Conn *conn)
+{
+    return conn->state == CONN_READING && !LrMessage_IsStarted(conn->message);
+}
+
+void
+LrCallers_Quiesce(LrCallers *callers)
+{
+    Conn *conn;
+    Conn *next;
+    stop_listening(callers);
+    TAILQ_FOREACH_SAFE(conn, &callers->conns, of_callers, next)
+    {
+        if (is_idle(conn)) {
+            start_lingering(conn);
+        }
+    }
+}
+
+size_t
+LrCallers_Busy(const LrCallers *callers)
+{
+    size_t n = 0;
+    const Conn *conn;
+    TAILQ_FOREACH(conn, &callers->conns, of_callers)
+    {
+        n += !is_idle(conn) && conn->state != CONN_LINGERING;
+    }
+    return n;
+}
+
+size_t
+LrCallers_Open(const LrCallers *callers)
+{
+    return callers->n_open;
+}
+
+void
+LrCallers_Free(LrCallers *callers)
+{
+    if (!callers) {
+        return;
+    }
+    Conn *conn;
+    Conn *next;
+    stop_listening(callers);
+    TAILQ_FOREACH_SAFE(conn, &callers->conns, of_callers, next)
+    {
+        close_conn(conn);
+    }
+    g_free(callers);
+}
+
+const LrMessage *
+LrCall_Message(const LrCall *call)
+{
+    return call->conn->message;
+}
+
+GBytes *
+LrCall_TakeBody(LrCall *call)
+{
+    return LrMessage_TakeBody(call->conn->message);
+}
+
+LrTime
+LrCall_ArrivedAt(const LrCall *call)
+{
+    return call->arrived_at;
+}
+
+void
+LrCall_SetData(LrCall *call, void *data)
+{
+    call->data = data;
+}
+
+void *
+LrCall_Data(const LrCall *call)
+{
+    return call->data;
+}
--- a/liblavenderrail/catalogue.c
+++ b/liblavenderrail/catalogue.c
@@ -168,6 +168,24 @@
     return catalogue;
 }
 
+LrCatalogue *
+LrCatalogue_FromSpec(const LrCatalogueSpec *spec, LrArena *arena)
+{
+    LrCatalogue *catalogue = g_new0(LrCatalogue, 1);
+    catalogue->refs = 1;
+    catalogue->spec = *spec;
+    catalogue->arena = arena;
+    return catalogue;
+}
+
+void
+LrCatalogue_Attach(LrCatalogue *catalogue, void *data,
+                   GDestroyNotify free_data)
+{
+    catalogue->attached = data;
+    catalogue->free_attached = free_data;
+}
+
 LrCatalogue *
 LrCatalogue_Ref(LrCatalogue *catalogue)
 {
@@ -181,6 +199,9 @@
     if (!catalogue || --catalogue->refs > 0) {
         return;
     }
+    if (catalogue->free_attached) {
+        catalogue->free_attached(catalogue->attached);
+    }
     LrArena_Free(catalogue->arena);
     json_decref(catalogue->json);
     g_free(catalogue->text);
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -1,6 +1,9 @@
 /* One daemon: the engine, its edges, and the planned stop. */
 #include "daemon.h"
 
+#include "gateway.h"
+#include "keeper.h"
+
 #include <jansson.h>
 
 #define TICK_SECONDS 0.1
@@ -74,6 +77,10 @@
 static void
 cancel_attempt(LrDaemon *daemon, const LrAction *action)
 {
+    if (daemon->gateway &&
+        LrGateway_Cancel(daemon->gateway, action->attempt)) {
+        return;
+    }
     Sent *sent = g_hash_table_lookup(daemon->sent, &action->attempt);
     if (!sent) {
         LrRelay_Cancel(daemon->relay, action->attempt);
@@ -94,7 +101,10 @@
 give_answer(const LrAction *action)
 {
     LrPending *pending = action->answer->data;
-    if (pending->row) {
+    if (pending->routed) {
+        LrGateway_Answered(pending->routed, action->answer);
+    }
+    else if (pending->row) {
         LrKeyed_Answered(pending, action->answer);
     }
     else if (pending->relayed) {
@@ -130,6 +140,9 @@
             if (action.target->relay) {
                 LrRelay_Send(daemon->relay, &action);
             }
+            else if (daemon->gateway) {
+                LrGateway_Send(daemon->gateway, &action);
+            }
             else {
                 send_attempt(daemon, &action);
             }
@@ -169,12 +182,29 @@
     LrDaemon_Settle(daemon);
 }
 
+static bool
+callers_are_done(const LrDaemon *daemon)
+{
+    return daemon->gateway ? LrGateway_IsIdle(daemon->gateway)
+                           : LrServer_Open(daemon->callers) == 0;
+}
+
+static bool
+is_finished(LrDaemon *daemon)
+{
+    LrTime limit = daemon->settings.stop_limit_ms * LR_MILLISECOND;
+    if (LrLoop_Now() - daemon->stopped_at > limit) {
+        return true;
+    }
+    return daemon->finished_waiting && LrEngine_Running(daemon->engine) == 0 &&
+           callers_are_done(daemon) && !LrLedger_IsRunning(daemon->ledger) &&
+           LrYield_Step(daemon->yield);
+}
+
 static void
 end_if_finished(LrDaemon *daemon)
 {
-    if (daemon->finished_waiting && LrEngine_Running(daemon->engine) == 0 &&
-        LrServer_Open(daemon->callers) == 0 &&
-        !LrLedger_IsRunning(daemon->ledger) && LrYield_Step(daemon->yield)) {
+    if (daemon->stopping && is_finished(daemon)) {
         LR_LOG(daemon->log, LOG_NOTICE, "stopped",
                LrLog_Str("name", daemon->settings.name));
         ev_break(daemon->loop, EVBREAK_ALL);
@@ -192,7 +222,10 @@
 on_catalogue(void *data, LrCatalogue *catalogue)
 {
     LrDaemon *daemon = data;
-    const LrStore *store = LrWatch_Store(daemon->watch);
+    const LrStore *store = LrKeeper_Store(daemon->keeper);
+    if (daemon->gateway) {
+        LrGateway_SetCatalogue(daemon->gateway, catalogue);
+    }
     LrEngine_SetCatalogue(daemon->engine, LrLoop_Now(), catalogue);
     LrMembers_SetCatalogue(daemon->members, LrStore_Revision(store),
                            LrStore_Digest(store));
@@ -238,23 +271,35 @@
     return LrServer_New(&config, error);
 }
 
+/* Callers of the native interface, or those of the deployment's contract. */
 static bool
-open_servers(LrDaemon *daemon, GError **error)
+open_callers(LrDaemon *daemon, GError **error)
 {
     const LrServerHandler api = {
         .request = LrApi_Request,
         .gone = LrApi_Gone,
         .data = daemon,
     };
+    if (daemon->deployment->contract) {
+        daemon->gateway =
+            LrGateway_New(daemon, daemon->deployment->contract, error);
+        return daemon->gateway != NULL;
+    }
+    daemon->callers =
+        new_server(daemon, daemon->settings.listen,
+                   (unsigned)daemon->settings.max_connections, &api, error);
+    return daemon->callers != NULL;
+}
+
+static bool
+open_servers(LrDaemon *daemon, GError **error)
+{
     const LrServerHandler operator= {
         .request = LrOperator_Request,
         .gone = LrOperator_Gone,
         .data = daemon,
     };
-    daemon->callers =
-        new_server(daemon, daemon->settings.listen,
-                   (unsigned)daemon->settings.max_connections, &api, error);
-    if (!daemon->callers) {
+    if (!open_callers(daemon, error)) {
         return false;
     }
     daemon->operators = new_server(daemon, daemon->settings.operator_listen,
@@ -262,24 +307,34 @@
     return daemon->operators != NULL;
 }
 
+static LrKeeper *
+new_keeper(LrDaemon *daemon)
+{
+    LrKeeperConfig config = {
+        .log = daemon->log,
+        .counters = daemon->counters,
+        .build = daemon->deployment->source->build,
+        .catalogue = on_catalogue,
+        .data = daemon,
+    };
+    return LrKeeper_New(&config);
+}
+
 static void
-start_watch(LrDaemon *daemon)
+start_source(LrDaemon *daemon)
 {
-    LrWatchConfig config = {
+    LrSourceConfig config = {
         .loop = daemon->loop,
         .client = daemon->client,
+        .keeper = daemon->keeper,
+        .random = LrEngine_Random(daemon->engine),
         .log = daemon->log,
         .counters = daemon->counters,
-        .random = LrEngine_Random(daemon->engine),
-        .config_url = daemon->settings.config_url,
-        .hosts_url = daemon->settings.hosts_url,
-        .wait = daemon->settings.watch_wait_ms * LR_MILLISECOND,
-        .retry = daemon->settings.watch_retry_ms * LR_MILLISECOND,
-        .catalogue = on_catalogue,
+        .settings = &daemon->settings,
         .hosts = on_hosts,
         .data = daemon,
     };
-    daemon->watch = LrWatch_New(&config);
+    daemon->source = daemon->deployment->source->start(&config);
 }
 
 static void
@@ -292,9 +347,20 @@
     ev_timer_start(daemon->loop, &daemon->tick);
 }
 
+static LrBudgetRule
+budget_of(const LrSettings *settings)
+{
+    return (LrBudgetRule){
+        .ratio = settings->budget_ratio,
+        .extra = (double)settings->budget_extra,
+        .window = settings->budget_window_ms * LR_MILLISECOND,
+    };
+}
+
 static LrEngine *
 new_engine(LrDaemon *daemon)
 {
+    bool routed = daemon->deployment->contract != NULL;
     uint64_t seed = (uint64_t)daemon->settings.seed;
     if (seed == SEED_FROM_SYSTEM) {
         seed =
@@ -305,7 +371,11 @@
         .seed = seed,
         .hedge_share = daemon->settings.hedge_share,
         .retry_share = daemon->settings.retry_share,
-        .policy = &LrRoutePolicy_Estimate,
+        .budget = budget_of(&daemon->settings),
+        .hedge_medians = daemon->settings.hedge_medians,
+        .answer_margin = daemon->settings.answer_margin_ms * LR_MILLISECOND,
+        .track_withdrawn = routed,
+        .policy = routed ? &LrRoutePolicy_Finish : &LrRoutePolicy_Estimate,
         .counters = daemon->counters,
         .log = daemon->log,
     };
@@ -313,10 +383,11 @@
 }
 
 LrDaemon *
-LrDaemon_New(struct ev_loop *loop, const LrSettings *settings, LrLog *log,
-             GError **error)
+LrDaemon_New(struct ev_loop *loop, const LrSettings *settings,
+             const LrDeployment *deployment, LrLog *log, GError **error)
 {
     LrDaemon *daemon = g_new0(LrDaemon, 1);
+    daemon->deployment = deployment;
     daemon->loop = loop;
     daemon->settings = *settings;
     daemon->log = log;
@@ -326,6 +397,7 @@
     daemon->counters = LrCounters_New();
     daemon->ledger = LrLedger_New((size_t)settings->ledger_slots);
     daemon->engine = new_engine(daemon);
+    daemon->keeper = new_keeper(daemon);
     daemon->sent =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_sent);
     daemon->client = LrClient_New(loop, 0, (size_t)settings->max_body_bytes);
@@ -338,7 +410,7 @@
         LrDaemon_Free(daemon);
         return NULL;
     }
-    start_watch(daemon);
+    start_source(daemon);
     LR_LOG(log, LOG_NOTICE, "started", LrLog_Str("name", settings->name),
            LrLog_Str("zone", settings->zone),
            LrLog_Str("listen", settings->listen),
@@ -356,7 +428,10 @@
     ev_timer_stop(daemon->loop, &daemon->tick);
     ev_timer_stop(daemon->loop, &daemon->stop_timer);
     LrFleet_Stop(daemon);
-    LrWatch_Free(daemon->watch);
+    if (daemon->source) {
+        daemon->deployment->source->free(daemon->source);
+    }
+    LrGateway_Free(daemon->gateway);
     LrServer_Free(daemon->callers);
     LrServer_Free(daemon->operators);
     LrClient_Free(daemon->client);
@@ -368,6 +443,7 @@
     LrRelay_Free(daemon->relay);
     LrLeaving_Free(daemon->leaving);
     LrYield_Free(daemon->yield);
+    LrKeeper_Free(daemon->keeper);
     g_free(daemon);
 }
 
@@ -379,7 +455,12 @@
     (void)events;
     LrDaemon *daemon = timer->data;
     daemon->finished_waiting = true;
-    LrServer_Quiesce(daemon->callers);
+    if (daemon->gateway) {
+        LrGateway_Quiesce(daemon->gateway);
+    }
+    else {
+        LrServer_Quiesce(daemon->callers);
+    }
     end_if_finished(daemon);
 }
 
@@ -390,6 +471,10 @@
         return;
     }
     daemon->stopping = true;
+    daemon->stopped_at = LrLoop_Now();
+    if (daemon->gateway) {
+        LrGateway_Drain(daemon->gateway);
+    }
     LrMembers_Leave(daemon->members, LrLoop_Now());
     LR_LOG(daemon->log, LOG_NOTICE, "stopping",
            LrLog_Str("name", daemon->settings.name),
@@ -399,3 +484,16 @@
     daemon->stop_timer.data = daemon;
     ev_timer_start(daemon->loop, &daemon->stop_timer);
 }
+
+void
+LrDaemon_Reload(LrDaemon *daemon, const LrSettings *settings)
+{
+    LrBudgetRule budget = budget_of(settings);
+    LrEngine_SetBudget(daemon->engine, &budget);
+    daemon->settings.answer_margin_ms = settings->answer_margin_ms;
+    daemon->settings.linger_ms = settings->linger_ms;
+    daemon->settings.stop_limit_ms = settings->stop_limit_ms;
+    daemon->settings.drain_wait_ms = settings->drain_wait_ms;
+    LR_LOG(daemon->log, LOG_NOTICE, "reloaded",
+           LrLog_Str("name", daemon->settings.name));
+}
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -2,10 +2,14 @@
 #ifndef LAVENDERRAIL_DAEMON_H
 #define LAVENDERRAIL_DAEMON_H
 
+#include "contract.h"
 #include "lavenderrail.h"
 
 #include <ev.h>
 
+typedef struct LrGateway LrGateway;
+typedef struct LrRouted LrRouted;
+
 /* One request of a caller, from its arrival to its answer. */
 typedef struct {
     LrDaemon *daemon;
@@ -19,6 +23,8 @@
     bool forwarded;
     /* A shard that this daemon serves for another one. */
     bool relayed;
+    /* The routed request that this stands for; NULL for the native ones. */
+    LrRouted *routed;
     int64_t id;
     char *coordinator;
     ev_timer timer;
@@ -37,7 +43,11 @@
     LrServer *callers;
     LrServer *operators;
     LrClient *client;
-    LrWatch *watch;
+    const LrDeployment *deployment;
+    LrKeeper *keeper;
+    /* Reader of the configuration service, of the deployment's kind. */
+    void *source;
+    LrGateway *gateway;
     const LrWire *wire;
     GHashTable *sent;
     LrPeers *peers;
@@ -50,11 +60,14 @@
     ev_timer probe_timer;
     LrTime heard_at;
     LrTime asked_at;
+    /* The last delta did not fit: a whole copy is asked for next. */
+    bool ask_whole;
     ev_timer timer;
     ev_timer tick;
     ev_timer stop_timer;
     int64_t incarnation;
     LrTime started_at;
+    LrTime stopped_at;
     bool stopping;
     bool finished_waiting;
     bool closing;
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -40,8 +40,11 @@
         part->first_sent_at = now;
         LrBucket_Earn(&engine->hedges, engine->config.hedge_share);
         LrBucket_Earn(&engine->retries, engine->config.retry_share);
+        LrBudget_AddFirst(&part->group->state->budget, &engine->config.budget,
+                          now);
     }
     part->n_sent++;
+    part->n_may_run++;
     part->state = LR_PART_SENT;
     query->n_unproven++;
     note_tried(part, target);
@@ -57,6 +60,30 @@
     action->deadline = query->hard_at;
     action->klass = query->klass;
     action->body = query->body;
+    action->data = query->data;
+}
+
+bool
+LrDispatch_MayRepeat(const LrPart *part)
+{
+    int64_t most = part->query->entry->spec->max_attempts;
+    return most == 0 || part->n_may_run < most;
+}
+
+bool
+LrDispatch_TakeRepeat(LrEngine *engine, LrPart *part, LrBucket *bucket,
+                      LrTime now)
+{
+    const LrBudgetRule *rule = &engine->config.budget;
+    if (rule->ratio == 0) {
+        return LrBucket_Take(bucket, now);
+    }
+    /* Each daemon has its part of what is allowed beyond the ratio. */
+    LrBudgetRule own = *rule;
+    own.extra /= MAX(1, engine->share.count);
+    bool taken = LrBudget_TakeRepeat(&part->group->state->budget, &own, now);
+    LrCounters_Add(engine->config.counters, LR_COUNT_BUDGET_REFUSED, !taken);
+    return taken;
 }
 
 static void
@@ -222,6 +249,11 @@
         action->attempt = attempt->id;
         LrCounters_Add(engine->config.counters, LR_COUNT_CANCELS, 1);
         attempt->target->cancelled_at = engine->now;
-        LrAttempt_Free(engine, attempt);
+        if (engine->config.track_withdrawn) {
+            LrAttempt_Withdraw(attempt, LrDispatch_Typical(part->query));
+        }
+        else {
+            LrAttempt_Free(engine, attempt);
+        }
     }
 }
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -1,6 +1,8 @@
 /* The dump of a daemon's state. */
 #include "daemon.h"
 
+#include "gateway.h"
+
 #include <stdlib.h>
 
 #include <jansson.h>
@@ -72,6 +74,17 @@
     return json;
 }
 
+/* What is in force, and what its reader does. */
+static json_t *
+dump_catalogue(const LrDaemon *daemon)
+{
+    json_t *json = LrKeeper_Dump(daemon->keeper);
+    json_t *source = daemon->deployment->source->dump(daemon->source);
+    json_object_update(json, source);
+    json_decref(source);
+    return json;
+}
+
 char *
 LrDaemon_Dump(LrDaemon *daemon)
 {
@@ -92,12 +105,15 @@
         "ready", LrDaemon_IsReady(daemon), "stopping", daemon->stopping,
         "running_queries", (json_int_t)LrEngine_Running(daemon->engine),
         "keys_remembered", (json_int_t)LrLedger_Count(daemon->ledger),
-        "catalogue", LrWatch_Dump(daemon->watch), "settings",
+        "catalogue", dump_catalogue(daemon), "settings",
         LrRecord_WriteJson(&LrSettings_Spec, &daemon->settings), "entries",
         dump_entries(LrEngine_View(daemon->engine)), "targets", targets,
         "quarantine", quarantined, "members", LrFleet_Dump(daemon), "counters",
         dump_counters(daemon->counters), "relayed_shards", (json_int_t)relayed,
         "peer_links", (json_int_t)LrPeers_Count(daemon->peers));
+    if (daemon->gateway) {
+        json_object_set_new(json, "routed", LrGateway_Dump(daemon->gateway));
+    }
     char *text = json_dumps(json, JSON_INDENT(1));
     char *copy = g_strdup(text);
     free(text);
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -265,8 +265,12 @@
     case LR_REPLY_VERSION_GONE:
         LrRouter_MarkGone(engine->router, target, query->map->version, now);
         break;
+    case LR_REPLY_MISDIRECTED:
+        LrRouter_MarkMisdirected(engine->router, target, now);
+        break;
     case LR_REPLY_REJECTED:
     case LR_REPLY_FAILED:
+    case LR_REPLY_STALE:
         break;
     default:
         LrCounters_Add(engine->config.counters, LR_COUNT_TARGET_FAILURES, 1);
@@ -277,11 +281,40 @@
     }
 }
 
+/* The request has its answer already; what became of the attempt still says
+ * something of its target. */
+static void
+end_withdrawn(LrEngine *engine, LrAttempt *attempt, const LrReply *reply,
+              LrTime now)
+{
+    LrTarget *target = attempt->target;
+    LrTime latency = now - attempt->sent_at;
+    if (reply->draining) {
+        LrRouter_MarkLeaving(engine->router, target, LR_SIGN_ANSWER, now);
+    }
+    if (reply->status == LR_REPLY_OK) {
+        LrRouter_OnSuccess(engine->router, target, latency, now, &reply->load,
+                           attempt->typical);
+    }
+    else if (reply->status == LR_REPLY_TIMEOUT && !attempt->suspect) {
+        LrRouter_OnFailure(engine->router, target, now);
+    }
+    LrAttempt_Free(engine, attempt);
+    LrRouter_Release(engine->router, target);
+}
+
 void
 LrEngine_OnReply(LrEngine *engine, LrTime now, uint64_t id,
                  const LrReply *reply)
 {
     LrAttempt *attempt = LrAttempt_Lookup(engine, id);
+    LrAttempt *withdrawn = LrAttempt_LookupWithdrawn(engine, id);
+    if (withdrawn) {
+        engine->now = now;
+        end_withdrawn(engine, withdrawn, reply, now);
+        settle(engine, now);
+        return;
+    }
     if (!attempt) {
         LrCounters_Add(engine->config.counters, LR_COUNT_LATE_REPLIES, 1);
         return;
@@ -406,6 +439,12 @@
     return engine->running;
 }
 
+void
+LrEngine_SetBudget(LrEngine *engine, const LrBudgetRule *budget)
+{
+    engine->config.budget = *budget;
+}
+
 void
 LrEngine_Stop(LrEngine *engine)
 {
--- /dev/null
+++ b/liblavenderrail/feed.c
@@ -0,0 +1,328 @@
+/* Reading of a versioned key-value service. */
+#include "feed.h"
+
+/* Longest pause after failed calls: one call a second and host is what an
+ * outage may cost. */
+#define RETRY_MAX LR_SECOND
+/* A service that failed for less was not away for its writers. */
+#define OUTAGE_MIN (500 * LR_MILLISECOND)
+/* Changes gather for this long before the next watch asks for more. */
+#define GATHER (100 * LR_MILLISECOND)
+
+struct LrFeed {
+    LrFeedConfig config;
+    bool reading;
+    LrTime due;
+    /* The listing under way, or the changes since the last store. */
+    bool listing;
+    bool listed;
+    char *after_key;
+    int64_t list_revision;
+    GHashTable *items;
+    bool list_complete;
+    int64_t revision;
+    bool changed;
+    /* Names to be removed, with the time until which they are held. */
+    GHashTable *held;
+    LrTime heard_at;
+    LrTime failing_since;
+    LrTime hold_until;
+    unsigned failures;
+};
+
+typedef struct {
+    int64_t revision;
+    char *text;
+    size_t len;
+} Item;
+
+static void
+free_item(gpointer data)
+{
+    Item *item = data;
+    g_free(item->text);
+    g_free(item);
+}
+
+LrFeed *
+LrFeed_New(const LrFeedConfig *config)
+{
+    LrFeed *feed = g_new0(LrFeed, 1);
+    feed->config = *config;
+    feed->reading = true;
+    feed->items =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
+    feed->held =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return feed;
+}
+
+void
+LrFeed_Free(LrFeed *feed)
+{
+    if (!feed) {
+        return;
+    }
+    g_hash_table_unref(feed->items);
+    g_hash_table_unref(feed->held);
+    g_free(feed->after_key);
+    g_free(feed);
+}
+
+void
+LrFeed_SetReading(LrFeed *feed, bool reading, LrTime now)
+{
+    if (reading && !feed->reading) {
+        feed->due = now;
+    }
+    feed->reading = reading;
+}
+
+LrFeedCall
+LrFeed_NextCall(LrFeed *feed, const LrStore *base, LrTime now)
+{
+    LrFeedCall call = {.due = MAX(feed->due, now)};
+    if (!feed->reading) {
+        return call;
+    }
+    if (!feed->listed) {
+        call.kind = LR_FEED_LIST;
+        call.after_key = feed->after_key;
+        return call;
+    }
+    call.kind = LR_FEED_WATCH;
+    call.after_revision = MAX(feed->revision, LrStore_Revision(base));
+    return call;
+}
+
+/* The service answered; after an outage, what it lacks is held. */
+static void
+note_success(LrFeed *feed, LrTime now)
+{
+    if (feed->failing_since > 0) {
+        LrTime outage = now - feed->failing_since;
+        LR_LOG(feed->config.log, LOG_NOTICE, "source_regained",
+               LrLog_Int("outage_ms", outage / LR_MILLISECOND));
+        if (outage >= OUTAGE_MIN) {
+            feed->hold_until = now + feed->config.absence_hold;
+        }
+    }
+    feed->failing_since = 0;
+    feed->failures = 0;
+    feed->heard_at = now;
+}
+
+static void
+put_item(LrFeed *feed, const LrFeedItem *given)
+{
+    char *name = LrStr_Dup(given->name);
+    const Item *known = g_hash_table_lookup(feed->items, name);
+    if (known && known->revision > given->revision) {
+        g_free(name);
+        return;
+    }
+    Item *item = g_new0(Item, 1);
+    item->revision = given->revision;
+    item->text = LrStr_Dup(given->text);
+    item->len = given->text.len;
+    g_hash_table_replace(feed->items, name, item);
+    feed->changed = true;
+}
+
+static void
+start_list(LrFeed *feed)
+{
+    g_hash_table_remove_all(feed->items);
+    g_clear_pointer(&feed->after_key, g_free);
+    feed->listing = false;
+    feed->listed = false;
+    feed->list_complete = false;
+}
+
+void
+LrFeed_OnPage(LrFeed *feed, LrTime now, const LrFeedItem *items,
+              size_t n_items, const char *last_key, bool more,
+              int64_t revision)
+{
+    note_success(feed, now);
+    if (!feed->listing) {
+        g_hash_table_remove_all(feed->items);
+        feed->listing = true;
+        /* Pages are no snapshot: the watch goes on from the first one. */
+        feed->list_revision = revision;
+    }
+    for (size_t i = 0; i < n_items; i++) {
+        put_item(feed, &items[i]);
+    }
+    g_free(feed->after_key);
+    feed->after_key = g_strdup(last_key);
+    feed->due = now;
+    if (more) {
+        return;
+    }
+    g_clear_pointer(&feed->after_key, g_free);
+    feed->listing = false;
+    feed->listed = true;
+    feed->list_complete = true;
+    feed->changed = true;
+    feed->revision = feed->list_revision;
+}
+
+void
+LrFeed_OnEvents(LrFeed *feed, LrTime now, const LrFeedItem *items,
+                size_t n_items, int64_t revision)
+{
+    note_success(feed, now);
+    for (size_t i = 0; i < n_items; i++) {
+        put_item(feed, &items[i]);
+    }
+    feed->revision = MAX(feed->revision, revision);
+    feed->due = n_items > 0 ? now + GATHER : now;
+}
+
+void
+LrFeed_OnHistoryGone(LrFeed *feed, LrTime now)
+{
+    note_success(feed, now);
+    LR_LOG(feed->config.log, LOG_NOTICE, "source_history_gone",
+           LrLog_Int("revision", feed->revision));
+    start_list(feed);
+    feed->due = now;
+}
+
+void
+LrFeed_OnFailure(LrFeed *feed, LrTime now, const char *why)
+{
+    LrCounters_Add(feed->config.counters, LR_COUNT_SOURCE_FAILURES, 1);
+    if (feed->failing_since == 0) {
+        feed->failing_since = now;
+        LR_LOG(feed->config.log, LOG_WARNING, "source_lost",
+               LrLog_C("why", why), LrLog_Int("revision", feed->revision));
+    }
+    LrTime pause = feed->config.retry << MIN(feed->failures, 8);
+    double jitter = 0.5 + LrRandom_Unit(feed->config.random);
+    feed->failures++;
+    feed->due = now + (LrTime)((double)MIN(pause, RETRY_MAX) * jitter);
+}
+
+static void
+hold_or_remove(LrFeed *feed, LrStore *store, const char *name, LrTime now)
+{
+    if (now >= feed->hold_until) {
+        LrStore_Remove(store, name, LrStore_Revision(store));
+        return;
+    }
+    LrTime *until = g_new(LrTime, 1);
+    *until = feed->hold_until;
+    g_hash_table_replace(feed->held, g_strdup(name), until);
+    LR_LOG(feed->config.log, LOG_INFO, "absent_entry_held",
+           LrLog_C("name", name),
+           LrLog_Int("ms", (*until - now) / LR_MILLISECOND));
+}
+
+static void
+apply_items(LrFeed *feed, LrStore *store, LrTime now)
+{
+    GHashTableIter iter;
+    gpointer name;
+    gpointer value;
+    g_hash_table_iter_init(&iter, feed->items);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        const Item *item = value;
+        LrStr text = {.ptr = item->text, .len = item->len};
+        if (text.len == 0) {
+            hold_or_remove(feed, store, name, now);
+            continue;
+        }
+        g_hash_table_remove(feed->held, name);
+        if (!LrStore_Has(store, name, item->revision)) {
+            LrStore_Set(store, name, item->revision, text);
+        }
+    }
+}
+
+/* A whole listing came: what it does not name is gone. */
+static void
+drop_unlisted(LrFeed *feed, LrStore *store, LrTime now)
+{
+    GPtrArray *names = LrStore_Names(store);
+    for (guint i = 0; i < names->len; i++) {
+        if (!g_hash_table_contains(feed->items, names->pdata[i])) {
+            g_autofree char *name = g_strdup(names->pdata[i]);
+            hold_or_remove(feed, store, name, now);
+        }
+    }
+    g_ptr_array_unref(names);
+}
+
+static bool
+end_holds(LrFeed *feed, LrStore *store, LrTime now)
+{
+    bool ended = false;
+    GHashTableIter iter;
+    gpointer name;
+    gpointer until;
+    g_hash_table_iter_init(&iter, feed->held);
+    while (g_hash_table_iter_next(&iter, &name, &until)) {
+        if (*(LrTime *)until <= now) {
+            LrStore_Remove(store, name, LrStore_Revision(store));
+            g_hash_table_iter_remove(&iter);
+            ended = true;
+        }
+    }
+    return ended;
+}
+
+LrStore *
+LrFeed_TakeStore(LrFeed *feed, const LrStore *base, LrTime now)
+{
+    bool behind = feed->revision < LrStore_Revision(base);
+    bool take = feed->changed && feed->listed && !behind;
+    if (!take && LrFeed_NextDue(feed) > now) {
+        return NULL;
+    }
+    LrStore *store = LrStore_Fork(base);
+    LrStore_SetRevision(store, MAX(feed->revision, LrStore_Revision(base)));
+    if (take) {
+        if (feed->list_complete) {
+            drop_unlisted(feed, store, now);
+        }
+        apply_items(feed, store, now);
+    }
+    bool ended = end_holds(feed, store, now);
+    if (feed->listed) {
+        g_hash_table_remove_all(feed->items);
+        feed->changed = false;
+        feed->list_complete = false;
+    }
+    if (!take && !ended) {
+        LrStore_Free(store);
+        return NULL;
+    }
+    return store;
+}
+
+LrTime
+LrFeed_NextDue(const LrFeed *feed)
+{
+    LrTime due = LR_NEVER;
+    GHashTableIter iter;
+    gpointer until;
+    g_hash_table_iter_init(&iter, feed->held);
+    while (g_hash_table_iter_next(&iter, NULL, &until)) {
+        due = MIN(due, *(LrTime *)until);
+    }
+    return due;
+}
+
+LrTime
+LrFeed_HeardAt(const LrFeed *feed)
+{
+    return feed->heard_at;
+}
+
+bool
+LrFeed_IsFailing(const LrFeed *feed)
+{
+    return feed->failing_since > 0;
+}
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -6,8 +6,8 @@
 
 #include <jansson.h>
 
-/* Daemons of a zone that read the configuration service. */
-enum { READERS = 2, MAX_CONDEMNED = 4, MAX_LEAVING = 4 };
+/* Rows of each kind that ride on a probe. */
+enum { MAX_CONDEMNED = 4, MAX_LEAVING = 4 };
 
 /* An unanswered request for a delta is repeated after this time. */
 #define ASK_AGAIN (2 * LR_SECOND)
@@ -104,7 +104,7 @@
 static int64_t
 own_revision(const LrDaemon *daemon)
 {
-    return LrStore_Revision(LrWatch_Store(daemon->watch));
+    return LrKeeper_Revision(daemon->keeper);
 }
 
 /* Asks a peer that has a newer catalogue for what changed. */
@@ -112,13 +112,13 @@
 ask_if_newer(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
 {
     if (message->revision <= own_revision(daemon) ||
-        message->revision == LrWatch_RefusedRevision(daemon->watch) ||
+        message->revision == LrKeeper_RefusedRevision(daemon->keeper) ||
         now - daemon->asked_at < ASK_AGAIN) {
         return;
     }
     daemon->asked_at = now;
     LrAskMsg ask = {
-        .revision = own_revision(daemon),
+        .revision = daemon->ask_whole ? 0 : own_revision(daemon),
         .reply_to = daemon->settings.peer_address,
     };
     LrPeers_Send(daemon->peers, message->news[0].address, &LrAskMsg_Spec,
@@ -143,7 +143,7 @@
 {
     LrArena *arena = LrArena_New();
     LrDeltaMsg delta;
-    LrStore_Delta(LrWatch_Store(daemon->watch), since, arena, &delta);
+    LrStore_Delta(LrKeeper_Store(daemon->keeper), since, arena, &delta);
     LrCounters_Add(daemon->counters, LR_COUNT_CATALOGUE_DELTAS, 1);
     LrPeers_Send(daemon->peers, address, &LrDeltaMsg_Spec, &delta);
     LrArena_Free(arena);
@@ -164,14 +164,15 @@
     if (message->revision <= own_revision(daemon)) {
         return;
     }
-    LrStore *store = LrStore_Apply(LrWatch_Store(daemon->watch), message);
+    LrStore *store = LrStore_Apply(LrKeeper_Store(daemon->keeper), message);
+    daemon->ask_whole = store == NULL;
     if (!store) {
         LR_LOG(daemon->log, LOG_WARNING, "delta_unfit",
                LrLog_Int("revision", message->revision),
                LrLog_Int("since", message->since));
         return;
     }
-    LrWatch_Offer(daemon->watch, store, "peer");
+    LrKeeper_Offer(daemon->keeper, store, "peer");
 }
 
 /* Peers asked for one loan. */
@@ -307,9 +308,11 @@
 {
     LrTime silence = LrMembers_SuspectTime(daemon->members);
     bool alone = now - daemon->heard_at > silence;
-    bool reader = LrMembers_ZoneRank(daemon->members) < READERS;
+    bool reader = LrMembers_ZoneRank(daemon->members) <
+                  (unsigned)daemon->settings.readers_per_zone;
     bool known = LrEngine_View(daemon->engine) != NULL;
-    LrWatch_SetReading(daemon->watch, reader || alone || !known);
+    daemon->deployment->source->set_reading(daemon->source,
+                                            reader || alone || !known);
 }
 
 static int
@@ -367,6 +370,7 @@
         .address = daemon->settings.peer_address,
         .incarnation = daemon->incarnation,
         .interval = daemon->settings.probe_ms * LR_MILLISECOND,
+        .seeds = daemon->settings.seeds,
         .random = LrEngine_Random(daemon->engine),
         .log = daemon->log,
         .counters = daemon->counters,
--- a/liblavenderrail/gather.c
+++ b/liblavenderrail/gather.c
@@ -1,6 +1,8 @@
 /* The parts of a query, and the answer made of them. */
 #include "private.h"
 
+#include <math.h>
+
 /* First of the query's groups in the map; n_groups when there is none. */
 static size_t
 first_group(const LrQuery *query, const LrMap *map)
@@ -42,6 +44,7 @@
     for (size_t i = 0; i < query->n_parts; i++) {
         LrPart *part = &query->parts[i];
         LrDispatch_Cancel(engine, part);
+        g_clear_pointer(&part->head, g_bytes_unref);
         g_clear_pointer(&part->body, g_bytes_unref);
     }
     g_clear_pointer(&query->parts, g_free);
@@ -51,16 +54,25 @@
 }
 
 void
-LrGather_Answered(LrPart *part, LrTarget *target, GBytes *body)
+LrGather_Answered(LrPart *part, LrTarget *target, const LrReply *reply)
 {
     part->state = LR_PART_ANSWERED;
     part->reason = LR_REASON_NONE;
     part->answered_by = target;
-    part->body = body ? g_bytes_ref(body) : NULL;
+    LrGather_Keep(part, reply);
     part->query->n_open--;
     part->query->n_answered++;
 }
 
+void
+LrGather_Keep(LrPart *part, const LrReply *reply)
+{
+    g_clear_pointer(&part->head, g_bytes_unref);
+    g_clear_pointer(&part->body, g_bytes_unref);
+    part->head = reply->head ? g_bytes_ref(reply->head) : NULL;
+    part->body = reply->body ? g_bytes_ref(reply->body) : NULL;
+}
+
 void
 LrGather_Missing(LrPart *part, LrReason reason)
 {
@@ -72,15 +84,37 @@
     part->query->n_open--;
 }
 
+/* Keeps a share that is a whole number of shards from being rounded up. */
+#define SHARE_EPSILON 1e-9
+
+size_t
+LrGather_Needed(const LrQuery *query)
+{
+    double share = query->entry->spec->min_coverage - SHARE_EPSILON;
+    return (size_t)MAX(1, ceil(share * (double)query->n_parts));
+}
+
 bool
 LrGather_IsDone(const LrQuery *query, LrTime now)
 {
     if (query->n_open == 0 || now >= query->hard_at) {
         return true;
     }
-    double share = (double)query->n_answered / (double)query->n_parts;
-    return now >= query->soft_at && query->n_answered > 0 &&
-           share >= query->entry->spec->min_coverage;
+    size_t needed = LrGather_Needed(query);
+    if (query->entry->spec->strict_coverage &&
+        query->n_answered + query->n_open < needed) {
+        return true;
+    }
+    return now >= query->soft_at && query->n_answered >= needed;
+}
+
+/* Whether the parts that came make an answer by the entry's own rule. */
+static bool
+suffices(const LrQuery *query)
+{
+    return query->n_answered > 0 &&
+           (!query->entry->spec->strict_coverage ||
+            query->n_answered >= LrGather_Needed(query));
 }
 
 static LrOutcome
@@ -89,7 +123,7 @@
     if (query->n_parts > 0 && query->n_answered == query->n_parts) {
         return LR_OUTCOME_COMPLETE;
     }
-    if (query->n_answered > 0) {
+    if (suffices(query)) {
         return LR_OUTCOME_PARTIAL;
     }
     return query->n_unproven > 0 ? LR_OUTCOME_UNKNOWN : LR_OUTCOME_NOT_RUN;
@@ -99,9 +133,10 @@
 fill_part(LrAnswerPart *out, LrPart *part, LrReason reason)
 {
     out->shard = part->group->name;
+    out->head = g_steal_pointer(&part->head);
+    out->body = g_steal_pointer(&part->body);
     if (part->state == LR_PART_ANSWERED) {
         out->target = part->answered_by->name;
-        out->body = g_steal_pointer(&part->body);
         return;
     }
     bool closed = part->state == LR_PART_MISSING ||
@@ -148,9 +183,8 @@
         return;
     }
     for (size_t i = 0; i < answer->n_parts; i++) {
-        if (answer->parts[i].body) {
-            g_bytes_unref(answer->parts[i].body);
-        }
+        g_clear_pointer(&answer->parts[i].head, g_bytes_unref);
+        g_clear_pointer(&answer->parts[i].body, g_bytes_unref);
     }
     g_free(answer->parts);
     LrView_Unref(answer->view);
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -67,6 +67,9 @@
     LR_REPLY_BROKEN,
     LR_REPLY_TIMEOUT,
     LR_REPLY_FAILED,
+    LR_REPLY_ERROR,
+    LR_REPLY_MISDIRECTED,
+    LR_REPLY_STALE,
     LR_REPLY_COUNT
 } LrReplyStatus;
 extern const char *const LrReplyStatus_Names[];
@@ -97,6 +100,10 @@
     LrStr address;
     /* the availability zone of the target */
     LrStr zone;
+    /* identity that the target checks itself; empty when it checks none */
+    LrStr instance;
+    /* how much longer the target is slow after its start */
+    int64_t cold_ms;
 } LrTargetSpec;
 extern const LrObjectSpec LrTargetSpec_Spec;
 
@@ -156,6 +163,10 @@
     double min_coverage;
     /* common or newest */
     LrSnapshotPolicy snapshot;
+    /* targets that may run one part of a request; 0 for no limit */
+    int64_t max_attempts;
+    /* true when an answer below min_coverage is a failure */
+    bool strict_coverage;
 } LrEntrySpec;
 extern const LrObjectSpec LrEntrySpec_Spec;
 
@@ -172,6 +183,106 @@
 } LrCatalogueSpec;
 extern const LrObjectSpec LrCatalogueSpec_Spec;
 
+/* One shard of a backend: the service that holds it. */
+typedef struct {
+    /* name of a service */
+    LrStr service;
+} LrShardSpec;
+extern const LrObjectSpec LrShardSpec_Spec;
+
+/* One of the destinations of a route. */
+typedef struct {
+    /* share of the route's requests, relative to the other backends */
+    double weight;
+    /* one service, or one for each shard */
+    LrShardSpec *shards;
+    size_t n_shards;
+} LrBackendSpec;
+extern const LrObjectSpec LrBackendSpec_Spec;
+
+/* Requests of one host and path prefix, and what may be done with them. */
+typedef struct {
+    /* unique name of the route */
+    LrStr name;
+    /* host name that requests are sent to */
+    LrStr host;
+    /* path prefix, from slash to slash */
+    LrStr prefix;
+    /* whether a request may run more than once */
+    bool idempotent;
+    /* whether a request goes to every shard of a backend */
+    bool scatter;
+    /* longest time that a request is kept waiting */
+    int64_t timeout_ms;
+    /* latency objective; 0 for none */
+    int64_t objective_ms;
+    /* 0 is the most urgent */
+    int64_t rank;
+    /* targets that may run one request, or one part of it */
+    int64_t max_attempts;
+    /* records of an answer that is merged from shards */
+    int64_t top_k;
+    /* smallest share of shards that makes an answer */
+    double min_coverage;
+    /* at least one backend */
+    LrBackendSpec *backends;
+    size_t n_backends;
+} LrRouteSpec;
+extern const LrObjectSpec LrRouteSpec_Spec;
+
+/* A service as its operators describe it. */
+typedef struct {
+    /* unique service name */
+    LrStr name;
+    /* path that reports a target's health */
+    LrStr health_path;
+    /* connections that one target accepts in all */
+    int64_t connections;
+} LrPoolSpec;
+extern const LrObjectSpec LrPoolSpec_Spec;
+
+/* Routes and limits in force: the routed form of a catalogue. */
+typedef struct {
+    /* version of the configuration */
+    int64_t version;
+    /* routes */
+    LrRouteSpec *routes;
+    size_t n_routes;
+    /* services */
+    LrPoolSpec *pools;
+    size_t n_pools;
+    /* largest head of a request */
+    int64_t max_header_bytes;
+    /* largest body of a request */
+    int64_t max_body_bytes;
+    /* longest time from the first byte of a head to its end */
+    int64_t header_timeout_ms;
+    /* longest time that a caller's connection is kept idle */
+    int64_t idle_timeout_ms;
+} LrRoutingSpec;
+extern const LrObjectSpec LrRoutingSpec_Spec;
+
+/* One target as it registered itself. */
+typedef struct {
+    /* identity of the running target */
+    LrStr id;
+    /* service that it belongs to */
+    LrStr service;
+    /* IP:port */
+    LrStr address;
+    /* availability zone */
+    LrStr zone;
+    /* requests that it runs at once */
+    int64_t slots;
+    /* whether it takes no new requests */
+    bool leaving;
+    /* how much longer it is slow after its start */
+    int64_t cold_ms;
+    /* start of the process, Unix milliseconds; 0 when not said */
+    int64_t born_ms;
+} LrInstanceSpec;
+extern const LrObjectSpec LrInstanceSpec_Spec;
+
 /* One host of the platform's list. */
 typedef struct {
     /* the host's name */
@@ -241,6 +352,34 @@
     int64_t seed;
     /* syslog priority from 0 (emerg) to 7 (debug) */
     int64_t log_level;
+    /* callers' and targets' contract: native, or one that the program names */
+    LrStr contract;
+    /* peer addresses to join by, joined by commas; replaces the host list */
+    LrStr seeds;
+    /* daemons of a zone that read the configuration service */
+    int64_t readers_per_zone;
+    /* repeated requests to a service as a share of its requests; 0 for no such budget */
+    double budget_ratio;
+    /* repeated requests to a service beyond the share, over the fleet */
+    int64_t budget_extra;
+    /* window in which repeated requests are counted */
+    int64_t budget_window_ms;
+    /* a part is hedged after this many median latencies; 0 to hedge by quantile */
+    double hedge_medians;
+    /* kept of an objective for the way back to the caller */
+    int64_t answer_margin_ms;
+    /* how long a withdrawn attempt may still answer before its connection is closed */
+    int64_t linger_ms;
+    /* longest time to set up a connection to a target */
+    int64_t connect_timeout_ms;
+    /* how long entries that were missing after an outage of the configuration service are kept */
+    int64_t absence_hold_ms;
+    /* longest time from the request to stop to the end of the process */
+    int64_t stop_limit_ms;
+    /* memory that the process may use; 0 for no bound */
+    int64_t memory_mb;
+    /* file descriptors that the process may use */
+    int64_t max_files;
 } LrSettings;
 extern const LrObjectSpec LrSettings_Spec;
 
@@ -577,6 +716,17 @@
     LR_COUNT_KEYS_TAKEN_OVER,
     LR_COUNT_LOANS_GIVEN,
     LR_COUNT_LOANS_TAKEN,
+    LR_COUNT_BUDGET_REFUSED,
+    LR_COUNT_ROUTED_REQUESTS,
+    LR_COUNT_ROUTED_REFUSED,
+    LR_COUNT_CALLER_ERRORS,
+    LR_COUNT_CALLER_GONE,
+    LR_COUNT_CONNECTIONS_OPENED,
+    LR_COUNT_CONNECTIONS_REUSED,
+    LR_COUNT_CONNECTIONS_BROKEN,
+    LR_COUNT_BAD_RECORDS,
+    LR_COUNT_LINES_DROPPED,
+    LR_COUNT_SOURCE_FAILURES,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/hedge.c
+++ b/liblavenderrail/hedge.c
@@ -7,6 +7,7 @@
  * with a full and with an empty budget. */
 #define QUANTILE_FULL 0.97
 #define QUANTILE_EMPTY 0.985
+#define MEDIAN 0.5
 /* Time between the hedges of a part, as a share of the first delay. */
 #define STEP_SHARE 0.3
 /* A daemon that relays hedges its shards itself; only when it is lost or
@@ -24,6 +25,10 @@
     LrLatency *attempt = query->entry->service->state->attempt;
     double full = (double)LrLatency_Quantile(attempt, QUANTILE_FULL, 0);
     double empty = (double)LrLatency_Quantile(attempt, QUANTILE_EMPTY, 0);
+    if (engine->config.hedge_medians > 0) {
+        double median = (double)LrLatency_Quantile(attempt, MEDIAN, 0);
+        return (LrTime)(engine->config.hedge_medians * median);
+    }
     double fill = engine->hedges.tokens / engine->hedges.cap;
     return (LrTime)(empty + (full - empty) * fill);
 }
@@ -43,7 +48,8 @@
 is_hedgeable(const LrPart *part)
 {
     return part->state == LR_PART_SENT && part->n_live > 0 &&
-           part->n_live < LR_PART_MAX_LIVE && part->n_hedges < MAX_HEDGES;
+           part->n_live < LR_PART_MAX_LIVE && part->n_hedges < MAX_HEDGES &&
+           LrDispatch_MayRepeat(part);
 }
 
 static void
@@ -56,7 +62,7 @@
                       LrDispatch_Typical(query), part->tried, part->n_tried,
                       false, LrAdmission_Reserve(query, now), &exists);
     if (!target || part->group->n_waiting > 0 ||
-        !LrBucket_Take(&engine->hedges, now)) {
+        !LrDispatch_TakeRepeat(engine, part, &engine->hedges, now)) {
         return;
     }
     part->n_hedges++;
--- /dev/null
+++ b/liblavenderrail/http1.c
@@ -0,0 +1,448 @@
+/* HTTP/1.1 messages, on libhttp-parser. */
+#include "http1.h"
+
+#include <string.h>
+
+#include <http_parser.h>
+
+typedef struct {
+    size_t name_at;
+    size_t name_len;
+    size_t value_at;
+    size_t value_len;
+} Span;
+
+struct LrMessage {
+    http_parser parser;
+    enum http_parser_type type;
+    size_t max_head;
+    size_t max_body;
+    GString *target;
+    GString *reason;
+    /* Names and values, one after the other. */
+    GString *text;
+    GArray *headers;
+    bool in_value;
+    GByteArray *body;
+    size_t n_head;
+    bool started;
+    bool head_done;
+    bool complete;
+    bool kept;
+    bool bodyless;
+    LrMessageState fault;
+};
+
+static bool
+is_token(LrStr text)
+{
+    if (text.len == 0) {
+        return false;
+    }
+    for (size_t i = 0; i < text.len; i++) {
+        char c = text.ptr[i];
+        if (!g_ascii_isalnum(c) && (!c || !strchr("!#$%&'*+-.^_`|~", c))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static LrMessage *
+message_of(http_parser *parser)
+{
+    return parser->data;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+    g_string_append_len(message_of(parser)->target, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_status(http_parser *parser, const char *at, size_t len)
+{
+    g_string_append_len(message_of(parser)->reason, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t len)
+{
+    LrMessage *message = message_of(parser);
+    /* Trailers are not passed on. */
+    if (message->head_done) {
+        return 0;
+    }
+    if (message->in_value || message->headers->len == 0) {
+        Span span = {.name_at = message->text->len};
+        g_array_append_val(message->headers, span);
+        message->in_value = false;
+    }
+    Span *last =
+        &g_array_index(message->headers, Span, message->headers->len - 1);
+    g_string_append_len(message->text, at, (gssize)len);
+    last->name_len += len;
+    return 0;
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t len)
+{
+    LrMessage *message = message_of(parser);
+    if (message->head_done) {
+        return 0;
+    }
+    Span *last =
+        &g_array_index(message->headers, Span, message->headers->len - 1);
+    if (!message->in_value) {
+        last->value_at = message->text->len;
+        message->in_value = true;
+    }
+    g_string_append_len(message->text, at, (gssize)len);
+    last->value_len += len;
+    return 0;
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    LrMessage *message = message_of(parser);
+    message->head_done = true;
+    for (size_t i = 0; i < message->headers->len; i++) {
+        if (!is_token(LrMessage_HeaderAt(message, i).name)) {
+            return -1;
+        }
+    }
+    bool declared = (parser->flags & F_CONTENTLENGTH) &&
+                    parser->content_length != UINT64_MAX;
+    if (declared && !message->bodyless &&
+        parser->content_length > message->max_body) {
+        message->fault = LR_MESSAGE_BODY_TOO_LARGE;
+        return -1;
+    }
+    return message->bodyless ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+    LrMessage *message = message_of(parser);
+    if (message->body->len + len > message->max_body) {
+        message->fault = LR_MESSAGE_BODY_TOO_LARGE;
+        return -1;
+    }
+    g_byte_array_append(message->body, (const guint8 *)at, (guint)len);
+    return 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+    LrMessage *message = message_of(parser);
+    message->complete = true;
+    message->kept = http_should_keep_alive(parser) && !parser->upgrade;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings SETTINGS = {
+    .on_url = on_url,
+    .on_status = on_status,
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+static LrMessage *
+new_message(enum http_parser_type type)
+{
+    LrMessage *message = g_new0(LrMessage, 1);
+    message->type = type;
+    message->max_head = SIZE_MAX;
+    message->max_body = SIZE_MAX;
+    message->target = g_string_new(NULL);
+    message->reason = g_string_new(NULL);
+    message->text = g_string_new(NULL);
+    message->headers = g_array_new(FALSE, FALSE, sizeof(Span));
+    message->body = g_byte_array_new();
+    LrMessage_Reset(message);
+    return message;
+}
+
+LrMessage *
+LrMessage_NewRequest(void)
+{
+    return new_message(HTTP_REQUEST);
+}
+
+LrMessage *
+LrMessage_NewResponse(void)
+{
+    return new_message(HTTP_RESPONSE);
+}
+
+void
+LrMessage_Free(LrMessage *message)
+{
+    if (!message) {
+        return;
+    }
+    g_string_free(message->target, TRUE);
+    g_string_free(message->reason, TRUE);
+    g_string_free(message->text, TRUE);
+    g_array_unref(message->headers);
+    g_byte_array_unref(message->body);
+    g_free(message);
+}
+
+void
+LrMessage_Reset(LrMessage *message)
+{
+    http_parser_init(&message->parser, message->type);
+    message->parser.data = message;
+    g_string_truncate(message->target, 0);
+    g_string_truncate(message->reason, 0);
+    g_string_truncate(message->text, 0);
+    g_array_set_size(message->headers, 0);
+    g_byte_array_set_size(message->body, 0);
+    message->in_value = false;
+    message->n_head = 0;
+    message->started = false;
+    message->head_done = false;
+    message->complete = false;
+    message->kept = false;
+    message->bodyless = false;
+    message->fault = LR_MESSAGE_PARTIAL;
+}
+
+void
+LrMessage_SetBounds(LrMessage *message, size_t head, size_t body)
+{
+    message->max_head = head;
+    message->max_body = body;
+}
+
+void
+LrMessage_SetBodyless(LrMessage *message)
+{
+    message->bodyless = true;
+}
+
+/* An interim response (1xx) is passed over. */
+static bool
+skip_interim(LrMessage *message)
+{
+    if (message->type != HTTP_RESPONSE ||
+        message->parser.status_code / 100 != 1) {
+        return false;
+    }
+    bool bodyless = message->bodyless;
+    LrMessage_Reset(message);
+    message->started = true;
+    message->bodyless = bodyless;
+    return true;
+}
+
+LrMessageState
+LrMessage_Feed(LrMessage *message, const char *data, size_t len, size_t *used)
+{
+    *used = 0;
+    while (*used < len) {
+        message->started = true;
+        bool had_head = message->head_done;
+        size_t got = http_parser_execute(&message->parser, &SETTINGS,
+                                         data + *used, len - *used);
+        *used += got;
+        if (!had_head) {
+            message->n_head += got - MIN(got, message->body->len);
+        }
+        if (message->n_head > message->max_head && !had_head) {
+            return LR_MESSAGE_HEAD_TOO_LARGE;
+        }
+        if (message->complete) {
+            if (skip_interim(message)) {
+                continue;
+            }
+            return LR_MESSAGE_COMPLETE;
+        }
+        enum http_errno error = HTTP_PARSER_ERRNO(&message->parser);
+        if (message->fault != LR_MESSAGE_PARTIAL) {
+            return message->fault;
+        }
+        if (error == HPE_HEADER_OVERFLOW) {
+            return LR_MESSAGE_HEAD_TOO_LARGE;
+        }
+        if (error != HPE_OK) {
+            return LR_MESSAGE_MALFORMED;
+        }
+    }
+    return LR_MESSAGE_PARTIAL;
+}
+
+LrMessageState
+LrMessage_FeedEnd(LrMessage *message)
+{
+    if (!message->complete) {
+        http_parser_execute(&message->parser, &SETTINGS, "", 0);
+    }
+    message->kept = false;
+    return message->complete && message->head_done ? LR_MESSAGE_COMPLETE
+                                                   : LR_MESSAGE_MALFORMED;
+}
+
+bool
+LrMessage_IsStarted(const LrMessage *message)
+{
+    return message->started;
+}
+
+bool
+LrMessage_HasHead(const LrMessage *message)
+{
+    return message->head_done;
+}
+
+bool
+LrMessage_IsKept(const LrMessage *message)
+{
+    return message->kept;
+}
+
+LrStr
+LrMessage_Method(const LrMessage *message)
+{
+    return LrStr_FromC(http_method_str(message->parser.method));
+}
+
+static LrStr
+whole(const GString *text)
+{
+    return (LrStr){.ptr = text->str, .len = text->len};
+}
+
+LrStr
+LrMessage_Target(const LrMessage *message)
+{
+    return whole(message->target);
+}
+
+LrStr
+LrMessage_Path(const LrMessage *message)
+{
+    LrStr target = whole(message->target);
+    const char *query = memchr(target.ptr, '?', target.len);
+    if (query) {
+        target.len = (size_t)(query - target.ptr);
+    }
+    return target;
+}
+
+unsigned
+LrMessage_Status(const LrMessage *message)
+{
+    return message->parser.status_code;
+}
+
+LrStr
+LrMessage_Reason(const LrMessage *message)
+{
+    return whole(message->reason);
+}
+
+size_t
+LrMessage_CountHeaders(const LrMessage *message)
+{
+    return message->headers->len;
+}
+
+LrHeader
+LrMessage_HeaderAt(const LrMessage *message, size_t index)
+{
+    const Span *span = &g_array_index(message->headers, Span, index);
+    const char *text = message->text->str;
+    return (LrHeader){
+        .name = {.ptr = text + span->name_at, .len = span->name_len},
+        .value = {.ptr = text + span->value_at, .len = span->value_len},
+    };
+}
+
+bool
+LrHeader_IsNamed(LrStr name, const char *expected)
+{
+    return name.len == strlen(expected) &&
+           !g_ascii_strncasecmp(name.ptr, expected, name.len);
+}
+
+LrStr
+LrMessage_Header(const LrMessage *message, const char *name)
+{
+    for (size_t i = 0; i < message->headers->len; i++) {
+        LrHeader header = LrMessage_HeaderAt(message, i);
+        if (LrHeader_IsNamed(header.name, name)) {
+            return header.value;
+        }
+    }
+    return LrStr_FromC("");
+}
+
+size_t
+LrMessage_CountNamed(const LrMessage *message, const char *name)
+{
+    size_t n = 0;
+    for (size_t i = 0; i < message->headers->len; i++) {
+        n += LrHeader_IsNamed(LrMessage_HeaderAt(message, i).name, name);
+    }
+    return n;
+}
+
+GBytes *
+LrMessage_TakeBody(LrMessage *message)
+{
+    GBytes *body = g_byte_array_free_to_bytes(g_steal_pointer(&message->body));
+    message->body = g_byte_array_new();
+    return body;
+}
+
+/* Whether a Connection header names the header. */
+static bool
+is_listed(LrStr list, LrStr name)
+{
+    size_t at = 0;
+    while (at < list.len) {
+        const char *start = list.ptr + at;
+        const char *comma = memchr(start, ',', list.len - at);
+        size_t len = comma ? (size_t)(comma - start) : list.len - at;
+        at += len + 1;
+        while (len > 0 && g_ascii_isspace(*start)) {
+            start++;
+            len--;
+        }
+        while (len > 0 && g_ascii_isspace(start[len - 1])) {
+            len--;
+        }
+        if (len == name.len && !g_ascii_strncasecmp(start, name.ptr, len)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+LrHeader_IsHopByHop(const LrMessage *message, LrStr name)
+{
+    static const char *const names[] = {
+        "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
+        "Trailer",    "Upgrade",    "Transfer-Encoding", "Expect",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (LrHeader_IsNamed(name, names[i])) {
+            return true;
+        }
+    }
+    return is_listed(LrMessage_Header(message, "Connection"), name);
+}
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -209,12 +209,20 @@
 /* Text exposition of the counters and latency histograms. */
 char *LrCounters_ToText(LrCounters *counters);
 
-/* settings.c: flags before environment variables before defaults. */
-/* Reads argv and LAVENDERRAIL_* variables. On --help, --version or
- * --check-settings prints and sets *exit_status to 0; on a bad setting
- * prints one line a fault and sets it to 2; else returns true. */
-bool LrSettings_Load(LrSettings *settings, LrArena *arena, int argc,
-                     char **argv, int *exit_status);
+/* settings.c: flags before environment variables before a file of NAME=VALUE
+ * lines before defaults. */
+typedef struct {
+    int argc;
+    char **argv;
+    /* File that is read where --settings names none; NULL for none. */
+    const char *file;
+} LrSettingsSource;
+
+/* Reads the settings. On --help, --version or --check-settings prints and
+ * sets *exit_status to 0; on a bad setting prints one line a fault and sets
+ * it to 2; else returns true. */
+bool LrSettings_Load(LrSettings *settings, LrArena *arena,
+                     const LrSettingsSource *source, int *exit_status);
 
 /* catalogue.c: validated catalogues, immutable and reference counted. */
 typedef struct LrCatalogue LrCatalogue;
@@ -225,11 +233,18 @@
     size_t text_len;
     struct json_t *json;
     LrArena *arena;
+    /* What the catalogue was built from; freed with it. */
+    void *attached;
+    GDestroyNotify free_attached;
     int refs;
 };
 
 /* Parses and validates; on any fault returns NULL with all of them. */
 LrCatalogue *LrCatalogue_Parse(LrStr text, LrFaults *faults);
+/* Takes over a spec that was built in memory, in an arena of its own. */
+LrCatalogue *LrCatalogue_FromSpec(const LrCatalogueSpec *spec, LrArena *arena);
+void LrCatalogue_Attach(LrCatalogue *catalogue, void *data,
+                        GDestroyNotify free_data);
 LrCatalogue *LrCatalogue_Ref(LrCatalogue *catalogue);
 void LrCatalogue_Unref(LrCatalogue *catalogue);
 const LrServiceSpec *LrCatalogue_LookupService(const LrCatalogue *catalogue,
@@ -251,10 +266,18 @@
                  LrStr text);
 void LrStore_Remove(LrStore *store, const char *name, int64_t revision);
 bool LrStore_Has(const LrStore *store, const char *name, int64_t revision);
+/* Text of a value, borrowed from the store; empty when there is none. */
+LrStr LrStore_Get(const LrStore *store, const char *name);
+/* Calls func for each value in order of names. */
+void LrStore_Each(const LrStore *store,
+                  void (*func)(void *data, const char *name, LrStr text),
+                  void *data);
 /* Names in order, borrowed from the store. */
 GPtrArray *LrStore_Names(const LrStore *store);
 /* JSON text of the whole catalogue, to be freed with g_free. */
 char *LrStore_Assemble(const LrStore *store);
+/* The catalogue of the named values; NULL with the faults. */
+LrCatalogue *LrStore_Build(const LrStore *store, LrFaults *faults);
 /* Depends on every name, revision and text. */
 uint64_t LrStore_Digest(const LrStore *store);
 /* What changed after a revision; everything when that is not known. Texts
@@ -322,6 +345,32 @@
 /* Takes one token after refilling by time; false when there is none. */
 bool LrBucket_Take(LrBucket *bucket, LrTime now);
 
+/* budget.c: repeated requests to one service in a sliding window. */
+enum { LR_BUDGET_SLOTS = 20 };
+
+typedef struct {
+    /* Repeats allowed for each first request; 0 for no budget. */
+    double ratio;
+    /* Repeats allowed beyond that. */
+    double extra;
+    LrTime window;
+} LrBudgetRule;
+
+/* Zeroed at first. Counts of one slot more than the window holds, so that
+ * the sum is never of less than a window. */
+typedef struct {
+    uint32_t firsts[LR_BUDGET_SLOTS + 1];
+    uint32_t repeats[LR_BUDGET_SLOTS + 1];
+    int64_t slot;
+} LrBudget;
+
+void LrBudget_AddFirst(LrBudget *budget, const LrBudgetRule *rule, LrTime now);
+/* Counts a repeat; false, and not counted, when it would break the rule. */
+bool LrBudget_TakeRepeat(LrBudget *budget, const LrBudgetRule *rule,
+                         LrTime now);
+/* Share of the allowed repeats that is left, from 0 to 1. */
+double LrBudget_Left(LrBudget *budget, const LrBudgetRule *rule, LrTime now);
+
 /* limit.c: concurrency limit of one target, found from its answers. */
 typedef struct {
     double value;
@@ -359,12 +408,20 @@
     bool present;
     double running;
     double queued;
+    /* Requests that the target runs at once; 0 when not said. */
+    double slots;
+    /* How long work takes now, 1 for as usual; 0 when not said. */
+    double slowness;
 } LrLoadReport;
 
 struct LrTarget {
     uint32_t index;
+    /* Tells targets apart; the address where a target has no identity. */
+    LrStr key;
     LrStr name;
     LrStr address;
+    /* Identity that the target checks itself; empty when it checks none. */
+    LrStr instance;
     LrStr zone;
     bool local;
     int refs;
@@ -376,6 +433,8 @@
     LrTime sampled_at;
     double report_queue;
     LrTime report_at;
+    /* Last time that any answer came from the target. */
+    LrTime heard_at;
     uint32_t failures;
     LrTime broken_at;
     LrTime cancelled_at;
@@ -416,6 +475,8 @@
     bool hedged;
 } LrRoutePolicy;
 
+/* Chooses the replica that is expected to finish first. */
+extern const LrRoutePolicy LrRoutePolicy_Finish;
 extern const LrRoutePolicy LrRoutePolicy_Random;
 extern const LrRoutePolicy LrRoutePolicy_RoundRobin;
 extern const LrRoutePolicy LrRoutePolicy_LeastOutstanding;
@@ -429,7 +490,7 @@
 LrTarget *LrRouter_Hold(LrRouter *router, const LrTargetSpec *spec,
                         uint32_t connections, LrTime now);
 void LrRouter_Release(LrRouter *router, LrTarget *target);
-LrTarget *LrRouter_Lookup(LrRouter *router, LrStr address);
+LrTarget *LrRouter_Lookup(LrRouter *router, LrStr key);
 void LrRouter_Each(LrRouter *router, void (*func)(void *, LrTarget *),
                    void *data);
 const LrRoutePolicy *LrRouter_Policy(const LrRouter *router);
@@ -444,6 +505,14 @@
                         int64_t version, LrTime now, LrTime typical,
                         LrTarget *const *tried, size_t n_tried, bool suspect,
                         uint32_t reserve, bool *exists);
+/* A random index below n. */
+size_t LrRouter_Draw(LrRouter *router, size_t n);
+/* Smoothed latency of a target, the typical one while it is not known. */
+double LrRouter_Service(const LrTarget *target, LrTime now, LrTime typical);
+/* Requests that wait at a target by its own report, less for its age. */
+double LrRouter_ReportedQueue(const LrTarget *target, LrTime now);
+/* Whether some replica of the group can be sent work now. */
+bool LrRouter_IsServed(const LrGroup *group, LrTime now);
 /* Whether every replica of a group is ejected: a retry would be wasted. */
 bool LrRouter_AllEjected(const LrGroup *group, LrTime now);
 void LrRouter_OnSuccess(LrRouter *router, LrTarget *target, LrTime latency,
@@ -458,6 +527,8 @@
 /* The target said that it does not serve a version; believed for a while. */
 void LrRouter_MarkGone(LrRouter *router, LrTarget *target, int64_t version,
                        LrTime now);
+/* Another target has the address: nothing is sent there for a while. */
+void LrRouter_MarkMisdirected(LrRouter *router, LrTarget *target, LrTime now);
 /* The target named the range of versions that it serves. */
 void LrRouter_SetVersions(LrRouter *router, LrTarget *target, int64_t oldest,
                           int64_t newest);
@@ -524,9 +595,15 @@
 typedef struct LrEntry LrEntry;
 typedef struct LrView LrView;
 
+/* State of a shard that outlives a catalogue edit. */
+typedef struct {
+    LrBudget budget;
+} LrGroupState;
+
 struct LrGroup {
     LrStr name;
     LrMap *map;
+    LrGroupState *state;
     /* Searchers; where relayed, daemons that talk to them. */
     LrTarget **replicas;
     size_t n_replicas;
@@ -743,6 +820,9 @@
     LrStr address;
     int64_t incarnation;
     LrTime interval;
+    /* Peer addresses to join by, joined by commas; borrowed. Empty where a
+     * host list names the members. */
+    LrStr seeds;
     LrRandom *random;
     LrLog *log;
     LrCounters *counters;
@@ -794,6 +874,16 @@
     uint64_t seed;
     double hedge_share;
     double retry_share;
+    /* Budget of repeats a service, over the fleet; ratio 0 for the shares
+     * above. */
+    LrBudgetRule budget;
+    /* A part is hedged after so many medians; 0 to hedge by quantile. */
+    double hedge_medians;
+    /* Kept of a soft deadline for the way back to the caller. */
+    LrTime answer_margin;
+    /* Withdrawn attempts go on to count at their target until the edge tells
+     * how they ended. */
+    bool track_withdrawn;
     const LrRoutePolicy *policy;
     LrCounters *counters;
     LrLog *log;
@@ -806,6 +896,8 @@
     LrStr routing_key;
     LrStr key;
     LrTime timeout;
+    /* What else tells the request from others, for the quarantine. */
+    LrStr identity;
     /* One shard of a version, asked by another daemon, which admitted the
      * request. It is never relayed again. */
     LrStr shard;
@@ -818,6 +910,8 @@
     LrStr shard;
     LrStr target;
     LrReason reason;
+    /* Opaque to the engine; NULL when the contract gives none. */
+    GBytes *head;
     GBytes *body;
 } LrAnswerPart;
 
@@ -844,6 +938,8 @@
     int64_t newest;
     bool draining;
     LrLoadReport load;
+    /* Opaque to the engine; kept with the body. */
+    GBytes *head;
     GBytes *body;
 } LrReply;
 
@@ -867,6 +963,8 @@
     LrTime deadline;
     LrClass klass;
     GBytes *body;
+    /* Of the request that the attempt belongs to. */
+    void *data;
     LrAnswer *answer;
 } LrAction;
 
@@ -916,6 +1014,8 @@
 void LrEngine_TakeLoan(LrEngine *engine, LrTime now, const LrLoanMsg *loan);
 /* Refuses new requests with reason stopping. */
 void LrEngine_Stop(LrEngine *engine);
+/* Another budget of repeats. */
+void LrEngine_SetBudget(LrEngine *engine, const LrBudgetRule *budget);
 void LrAnswer_Free(LrAnswer *answer);
 
 /* loop.c: the clock of a libev loop. */
@@ -1072,20 +1172,14 @@
     LrStr hosts_url;
     LrTime wait;
     LrTime retry;
-    /* A newer catalogue was accepted; the receiver takes a reference. */
-    void (*catalogue)(void *data, LrCatalogue *catalogue);
+    /* Is offered what the service holds. */
+    struct LrKeeper *keeper;
     void (*hosts)(void *data, const LrHostList *list);
     void *data;
 } LrWatchConfig;
 
 LrWatch *LrWatch_New(const LrWatchConfig *config);
 void LrWatch_Free(LrWatch *watch);
-/* Offers a catalogue's values, which the watch takes over; false when they
- * are refused or not newer than those in force. */
-bool LrWatch_Offer(LrWatch *watch, LrStore *store, const char *source);
-/* Values in force; revision 0 while there are none. */
-const LrStore *LrWatch_Store(const LrWatch *watch);
-int64_t LrWatch_RefusedRevision(const LrWatch *watch);
 /* Whether to read the configuration service and the host list. */
 void LrWatch_SetReading(LrWatch *watch, bool reading);
 /* Members for the state dump. */
@@ -1093,9 +1187,15 @@
 
 /* daemon.c: one daemon of the query tier. */
 typedef struct LrDaemon LrDaemon;
+typedef struct LrDeployment LrDeployment;
 
+/* deployment: how callers, targets and the configuration service are spoken
+ * to; it has to outlive the daemon. */
 LrDaemon *LrDaemon_New(struct ev_loop *loop, const LrSettings *settings,
-                       LrLog *log, GError **error);
+                       const LrDeployment *deployment, LrLog *log,
+                       GError **error);
+/* Takes up those settings that can change while the daemon runs. */
+void LrDaemon_Reload(LrDaemon *daemon, const LrSettings *settings);
 void LrDaemon_Free(LrDaemon *daemon);
 /* Begins a planned stop; the loop ends when everything is finished. */
 void LrDaemon_Stop(LrDaemon *daemon);
--- /dev/null
+++ b/liblavenderrail/loop_timers.h
@@ -0,0 +1,15 @@
+/* The timer service of a libev loop, to which tasks subscribe. */
+#ifndef LAVENDERRAIL_LOOP_TIMERS_H
+#define LAVENDERRAIL_LOOP_TIMERS_H
+
+#include "lavenderrail.h"
+
+typedef struct LrLoopTimers LrLoopTimers;
+
+LrLoopTimers *LrLoopTimers_New(struct ev_loop *loop);
+void LrLoopTimers_Free(LrLoopTimers *timers);
+/* Arms or moves a timer, which its owner embeds. */
+void LrLoopTimers_Set(LrLoopTimers *timers, LrTimer *timer, LrTime due);
+void LrLoopTimers_Clear(LrLoopTimers *timers, LrTimer *timer);
+
+#endif
--- a/liblavenderrail/member.c
+++ b/liblavenderrail/member.c
@@ -14,7 +14,11 @@
     SPREAD_FACTOR = 3,
     SUSPECT_FACTOR = 4,
     LOST_EVERY = 5,
+    /* Seeds are probed as seldom, so that fleets that do not know each other
+     * find together. */
+    SEED_EVERY = 5,
     GAP_INTERVALS = 3,
+    MAX_SEEDS = 16,
 };
 
 typedef struct {
@@ -464,6 +468,36 @@
     }
 }
 
+static size_t
+split_seeds(LrStr seeds, LrStr *out, size_t most)
+{
+    size_t n = 0;
+    while (seeds.len > 0 && n < most) {
+        const char *comma = memchr(seeds.ptr, ',', seeds.len);
+        size_t len = comma ? (size_t)(comma - seeds.ptr) : seeds.len;
+        out[n++] = (LrStr){.ptr = seeds.ptr, .len = len};
+        len = MIN(seeds.len, len + 1);
+        seeds.ptr += len;
+        seeds.len -= len;
+    }
+    return n;
+}
+
+/* Probes a seed, whose name its answer tells. */
+static void
+probe_seed(LrMembers *members)
+{
+    LrStr seeds[MAX_SEEDS];
+    size_t n = split_seeds(members->config.seeds, seeds, MAX_SEEDS);
+    if (n == 0) {
+        return;
+    }
+    LrStr seed = seeds[LrRandom_Below(members->config.random, (uint32_t)n)];
+    if (!LrStr_Equal(seed, members->self->address)) {
+        send_probe(members, seed, ++members->sequence, false, LrStr_FromC(""));
+    }
+}
+
 void
 LrMembers_Tick(LrMembers *members, LrTime now)
 {
@@ -473,6 +507,9 @@
     }
     members->ticked_at = now;
     members->n_ticks++;
+    if (members->rows->len == 1 || members->n_ticks % SEED_EVERY == 0) {
+        probe_seed(members);
+    }
     chase_probe(members, now);
     age_members(members, now);
     if (!members->probed) {
--- /dev/null
+++ b/liblavenderrail/merge.c
@@ -0,0 +1,64 @@
+/* The greatest records of many parts. */
+#include "merge.h"
+
+#include <string.h>
+
+struct LrTopRecords {
+    const char **items;
+    size_t n;
+    size_t most;
+};
+
+LrTopRecords *
+LrTopRecords_New(size_t most)
+{
+    LrTopRecords *top = g_new0(LrTopRecords, 1);
+    top->items = g_new0(const char *, most + 1);
+    top->most = most;
+    return top;
+}
+
+void
+LrTopRecords_Free(LrTopRecords *top)
+{
+    if (!top) {
+        return;
+    }
+    g_free(top->items);
+    g_free(top);
+}
+
+static void
+add_record(LrTopRecords *top, const char *record)
+{
+    size_t at = top->n;
+    while (at > 0 && memcmp(top->items[at - 1], record, LR_RECORD_BYTES) < 0) {
+        at--;
+    }
+    if (at >= top->most) {
+        return;
+    }
+    size_t moved = MIN(top->n, top->most - 1) - at;
+    memmove(&top->items[at + 1], &top->items[at], moved * sizeof(char *));
+    top->items[at] = record;
+    top->n = MIN(top->n + 1, top->most);
+}
+
+void
+LrTopRecords_Add(LrTopRecords *top, LrStr part)
+{
+    for (size_t at = 0; at + LR_RECORD_BYTES <= part.len;
+         at += LR_RECORD_BYTES) {
+        add_record(top, part.ptr + at);
+    }
+}
+
+GBytes *
+LrTopRecords_ToBytes(const LrTopRecords *top)
+{
+    char *bytes = g_malloc(top->n * LR_RECORD_BYTES + 1);
+    for (size_t i = 0; i < top->n; i++) {
+        memcpy(bytes + i * LR_RECORD_BYTES, top->items[i], LR_RECORD_BYTES);
+    }
+    return g_bytes_new_take(bytes, top->n * LR_RECORD_BYTES);
+}
--- /dev/null
+++ b/liblavenderrail/merge.h
@@ -0,0 +1,28 @@
+/* Merging of sorted-by-value records from the parts of an answer. */
+#ifndef LAVENDERRAIL_MERGE_H
+#define LAVENDERRAIL_MERGE_H
+
+#include "lavenderrail.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum { LR_RECORD_BYTES = 16 };
+
+typedef struct LrTopRecords LrTopRecords;
+
+/* Keeps the greatest records, compared byte by byte; equal ones all count. */
+LrTopRecords *LrTopRecords_New(size_t most);
+void LrTopRecords_Free(LrTopRecords *top);
+/* Adds the records of a part, which are in no order; a shorter remainder is
+ * no record. The bytes must stay valid until the records are taken. */
+void LrTopRecords_Add(LrTopRecords *top, LrStr part);
+/* The records, greatest first. */
+GBytes *LrTopRecords_ToBytes(const LrTopRecords *top);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -29,6 +29,8 @@
     /* Its request is a suspect; it was one already when this was sent. */
     bool suspect;
     bool sent_as_suspect;
+    /* Median latency of its service when it was withdrawn. */
+    LrTime typical;
     TAILQ_ENTRY(LrAttempt) of_target;
 };
 
@@ -45,9 +47,12 @@
     LrAttemptKind next_kind;
     unsigned n_hedges;
     unsigned n_sent;
+    /* Attempts that are not known not to have run. */
+    unsigned n_may_run;
     unsigned n_broken;
     LrTime first_sent_at;
     LrTarget *answered_by;
+    GBytes *head;
     GBytes *body;
     bool queued;
     TAILQ_ENTRY(LrPart) of_group;
@@ -129,6 +134,9 @@
 LrAttempt *LrAttempt_Lookup(LrEngine *engine, uint64_t id);
 /* Takes the attempt off its part and its target. */
 void LrAttempt_Free(LrEngine *engine, LrAttempt *attempt);
+/* Takes the attempt off its part only: the target still has it. */
+void LrAttempt_Withdraw(LrAttempt *attempt, LrTime typical);
+LrAttempt *LrAttempt_LookupWithdrawn(LrEngine *engine, uint64_t id);
 
 /* admission.c */
 /* Reason to refuse the query at once, LR_REASON_NONE to go on. */
@@ -158,6 +166,11 @@
 /* Ends every live attempt of the part, telling the targets. */
 void LrDispatch_Cancel(LrEngine *engine, LrPart *part);
 void LrDispatch_Unqueue(LrPart *part);
+/* Whether the part may be sent to one more target, by its entry's limit. */
+bool LrDispatch_MayRepeat(const LrPart *part);
+/* Takes one repeat of the part's service from a budget. */
+bool LrDispatch_TakeRepeat(LrEngine *engine, LrPart *part, LrBucket *bucket,
+                           LrTime now);
 
 /* hedge.c */
 /* Sends further attempts for slow parts and sets hedge_at. */
@@ -168,8 +181,12 @@
  * daemon would have to relay it once more. */
 bool LrGather_Init(LrQuery *query, LrMap *map);
 void LrGather_Clear(LrEngine *engine, LrQuery *query);
-void LrGather_Answered(LrPart *part, LrTarget *target, GBytes *body);
+void LrGather_Answered(LrPart *part, LrTarget *target, const LrReply *reply);
+/* Keeps the reply's head and body as the part's. */
+void LrGather_Keep(LrPart *part, const LrReply *reply);
 void LrGather_Missing(LrPart *part, LrReason reason);
+/* Shards that an answer of the query has to hold. */
+size_t LrGather_Needed(const LrQuery *query);
 /* Whether the answer can be given now. */
 bool LrGather_IsDone(const LrQuery *query, LrTime now);
 /* Gives the answer with the parts that came; reason is for those that did
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -180,6 +180,9 @@
     query->timer = (LrTimer){.func = on_timer, .data = query};
     query->fingerprint = LrQuarantine_Fingerprint(
         request->entry, LrStr_FromBytes(request->body));
+    if (request->identity.len > 0) {
+        query->fingerprint = LrStr_Hash(request->identity, query->fingerprint);
+    }
     TAILQ_INSERT_TAIL(&engine->queries, query, of_engine);
     g_hash_table_insert(engine->by_id, &query->id, query);
     engine->running++;
@@ -209,6 +212,7 @@
     query->hard_at = now + hard;
     query->soft_at =
         MIN(query->hard_at, now + spec->soft_deadline_ms * LR_MILLISECOND);
+    query->soft_at = MAX(now, query->soft_at - engine->config.answer_margin);
     LrStr route = request->routing_key;
     query->route_hash = route.len ? LrStr_Hash(route, 0) : query->fingerprint;
     return LrAdmission_Check(engine, query, now);
@@ -251,9 +255,9 @@
     if (part->n_live > 0) {
         return;
     }
-    if (LrRouter_AllEjected(part->group, now) ||
+    if (LrRouter_AllEjected(part->group, now) || !LrDispatch_MayRepeat(part) ||
         (status != LR_REPLY_CONNECT_FAILED &&
-         !LrBucket_Take(&engine->retries, now))) {
+         !LrDispatch_TakeRepeat(engine, part, &engine->retries, now))) {
         LrGather_Missing(part, part->reason);
         return;
     }
@@ -343,7 +347,7 @@
 proves_not_run(LrReplyStatus status)
 {
     return status == LR_REPLY_SHED || status == LR_REPLY_CONNECT_FAILED ||
-           status == LR_REPLY_VERSION_GONE;
+           status == LR_REPLY_VERSION_GONE || status == LR_REPLY_MISDIRECTED;
 }
 
 static const LrReason STATUS_REASONS[] = {
@@ -355,6 +359,9 @@
     [LR_REPLY_BROKEN] = LR_REASON_TARGET_FAILED,
     [LR_REPLY_TIMEOUT] = LR_REASON_DEADLINE,
     [LR_REPLY_FAILED] = LR_REASON_TARGET_FAILED,
+    [LR_REPLY_ERROR] = LR_REASON_TARGET_FAILED,
+    [LR_REPLY_MISDIRECTED] = LR_REASON_NO_REPLICA,
+    [LR_REPLY_STALE] = LR_REASON_TARGET_FAILED,
 };
 
 /* Whether every replica has said that the version is gone. */
@@ -383,6 +390,10 @@
     }
     if (proves_not_run(reply->status)) {
         query->n_unproven--;
+        part->n_may_run--;
+    }
+    if (reply->head) {
+        LrGather_Keep(part, reply);
     }
     if (verdict == LR_VERDICT_CONDEMNED) {
         condemn(engine, query);
@@ -415,7 +426,7 @@
         LrLatency_Add(latency, now - part->live[i]->sent_at);
     }
     LrDispatch_Cancel(engine, part);
-    LrGather_Answered(part, target, reply->body);
+    LrGather_Answered(part, target, reply);
 }
 
 void
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -49,6 +49,8 @@
 free_target(gpointer data)
 {
     LrTarget *target = data;
+    g_free((char *)target->key.ptr);
+    g_free((char *)target->instance.ptr);
     g_free((char *)target->name.ptr);
     g_free((char *)target->address.ptr);
     g_free((char *)target->zone.ptr);
@@ -87,7 +89,8 @@
 LrRouter_Hold(LrRouter *router, const LrTargetSpec *spec, uint32_t connections,
               LrTime now)
 {
-    LrTarget *target = LrRouter_Lookup(router, spec->address);
+    LrStr key = spec->instance.len > 0 ? spec->name : spec->address;
+    LrTarget *target = LrRouter_Lookup(router, key);
     if (target) {
         target->refs++;
         target->limit.max = connections;
@@ -95,6 +98,9 @@
     }
     target = g_new0(LrTarget, 1);
     target->index = router->next_index++;
+    target->key = own_str(key);
+    target->instance = own_str(spec->instance);
+    target->warm_at = now + spec->cold_ms * LR_MILLISECOND;
     target->name = own_str(spec->name);
     target->address = own_str(spec->address);
     target->zone = own_str(spec->zone);
@@ -104,7 +110,7 @@
     target->sampled_at = now;
     LrLimit_Init(&target->limit, connections);
     TAILQ_INIT(&target->attempts);
-    g_hash_table_insert(router->targets, &target->address, target);
+    g_hash_table_insert(router->targets, &target->key, target);
     return target;
 }
 
@@ -112,14 +118,14 @@
 LrRouter_Release(LrRouter *router, LrTarget *target)
 {
     if (--target->refs == 0) {
-        g_hash_table_remove(router->targets, &target->address);
+        g_hash_table_remove(router->targets, &target->key);
     }
 }
 
 LrTarget *
-LrRouter_Lookup(LrRouter *router, LrStr address)
+LrRouter_Lookup(LrRouter *router, LrStr key)
 {
-    return g_hash_table_lookup(router->targets, &address);
+    return g_hash_table_lookup(router->targets, &key);
 }
 
 void
@@ -176,6 +182,18 @@
            exp(-(double)(now - target->report_at) / REPORT_NS);
 }
 
+double
+LrRouter_Service(const LrTarget *target, LrTime now, LrTime typical)
+{
+    return smoothed_service(target, now, (double)typical);
+}
+
+double
+LrRouter_ReportedQueue(const LrTarget *target, LrTime now)
+{
+    return aged_queue(target, now);
+}
+
 double
 LrRouter_Estimate(const LrTarget *target, LrTime now, LrTime typical)
 {
@@ -254,6 +272,18 @@
     }
 }
 
+bool
+LrRouter_IsServed(const LrGroup *group, LrTime now)
+{
+    for (size_t i = 0; i < group->n_replicas; i++) {
+        const LrTarget *target = group->replicas[i];
+        if (!LrRouter_IsLeaving(target, now) && target->ejected_until <= now) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 LrRouter_AllEjected(const LrGroup *group, LrTime now)
 {
@@ -292,6 +322,12 @@
     return found.items[choice];
 }
 
+size_t
+LrRouter_Draw(LrRouter *router, size_t n)
+{
+    return LrRandom_Below(router->config.random, (uint32_t)n);
+}
+
 static size_t
 pick_random(void *data, LrRouter *router, LrTime now,
             LrTarget *const *candidates, size_t n, LrTime typical)
@@ -398,6 +434,7 @@
 {
     (void)router;
     add_sample(target, latency, now, typical);
+    target->heard_at = now;
     target->failures = 0;
     target->ejections = 0;
     target->ejected_until = 0;
@@ -459,6 +496,15 @@
     target->gone_until = now + GONE_HOLD;
 }
 
+void
+LrRouter_MarkMisdirected(LrRouter *router, LrTarget *target, LrTime now)
+{
+    LR_LOG(router->config.log, LOG_NOTICE, "target_misdirected",
+           LrLog_Str("target", target->name),
+           LrLog_Str("address", target->address));
+    target->ejected_until = now + EJECT_MAX;
+}
+
 void
 LrRouter_SetVersions(LrRouter *router, LrTarget *target, int64_t oldest,
                      int64_t newest)
--- a/liblavenderrail/settings.c
+++ b/liblavenderrail/settings.c
@@ -8,13 +8,16 @@
 #include <argtable2.h>
 #include <netinet/in.h>
 
-enum { FIXED_OPTIONS = 3, OPTION_MAX_ERRORS = 20 };
+enum { FIXED_OPTIONS = 4, OPTION_MAX_ERRORS = 20 };
 
 typedef struct {
     struct arg_lit *help;
     struct arg_lit *version;
     struct arg_lit *check;
+    struct arg_str *file;
     struct arg_str **values;
+    /* Lines of the settings file: values by name. */
+    GHashTable *lines;
     void **table;
     char **names;
     size_t n_values;
@@ -42,9 +45,15 @@
     options->version = arg_lit0(NULL, "version", "show the version and exit");
     options->check =
         arg_lit0(NULL, "check-settings", "check the settings and exit");
+    options->file = arg_str0(NULL, "settings", "FILE",
+                             "file of NAME=VALUE lines, with the names of"
+                             " these options");
+    options->lines =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     options->table[0] = options->help;
     options->table[1] = options->version;
     options->table[2] = options->check;
+    options->table[3] = options->file;
     for (size_t i = 0; i < n; i++) {
         options->names[i] = dash_name(arena, spec->fields[i].name);
         options->values[i] =
@@ -57,6 +66,7 @@
 static void
 free_options(Options *options)
 {
+    g_hash_table_unref(options->lines);
     arg_freetable(options->table, options->n_values + FIXED_OPTIONS + 1);
 }
 
@@ -69,13 +79,19 @@
 
 static void
 load_field(LrSettings *settings, LrArena *arena, const LrFieldSpec *field,
-           const struct arg_str *flag, const char *flag_name, LrFaults *faults)
+           const Options *options, size_t index, LrFaults *faults)
 {
+    const struct arg_str *flag = options->values[index];
+    const char *flag_name = options->names[index];
     g_autofree char *variable = variable_name(field->name);
     g_autofree char *option = g_strconcat("--", flag_name, NULL);
     const char *text = getenv(variable);
     const char *path = variable;
-    if (flag && flag->count > 0) {
+    if (!text) {
+        text = g_hash_table_lookup(options->lines, flag_name);
+        path = text ? flag_name : path;
+    }
+    if (flag->count > 0) {
         text = flag->sval[0];
         path = option;
     }
@@ -124,7 +140,9 @@
     check_address(settings->peer_listen, "--peer-listen", faults);
     check_address(settings->peer_address, "--peer-address", faults);
     check_url(settings->config_url, "--config-url", faults);
-    check_url(settings->hosts_url, "--hosts-url", faults);
+    if (settings->hosts_url.len > 0) {
+        check_url(settings->hosts_url, "--hosts-url", faults);
+    }
     if (settings->name.len == 0 || settings->zone.len == 0) {
         LrFaults_Add(faults, "--name", "give both --name and --zone",
                      "or --zone is empty");
@@ -142,13 +160,73 @@
 }
 
 static bool
-load_all(LrSettings *settings, LrArena *arena, const Options *options)
+is_option(const Options *options, const char *name)
+{
+    for (size_t i = 0; i < options->n_values; i++) {
+        if (!strcmp(options->names[i], name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+load_line(const Options *options, const char *file, size_t number, char *line,
+          LrFaults *faults)
+{
+    g_autofree char *path = g_strdup_printf("%s:%zu", file, number);
+    char *equals = strchr(g_strstrip(line), '=');
+    if (line[0] == '\0' || line[0] == '#') {
+        return;
+    }
+    if (!equals) {
+        LrFaults_Add(faults, path, "write NAME=VALUE", "has no '='");
+        return;
+    }
+    *equals = '\0';
+    if (!is_option(options, line)) {
+        LrFaults_Add(faults, path, "--help lists the names",
+                     "names no setting: '%s'", line);
+        return;
+    }
+    g_hash_table_replace(options->lines, g_strdup(line), g_strdup(equals + 1));
+}
+
+static void
+load_file(const Options *options, const char *file, LrFaults *faults)
+{
+    g_autofree char *text = NULL;
+    GError *error = NULL;
+    if (!g_file_get_contents(file, &text, NULL, &error)) {
+        LrFaults_Add(faults, "--settings", "name a file that can be read",
+                     "cannot be read: %s", error->message);
+        g_error_free(error);
+        return;
+    }
+    char **lines = g_strsplit(text, "\n", -1);
+    for (size_t i = 0; lines[i]; i++) {
+        load_line(options, file, i + 1, lines[i], faults);
+    }
+    g_strfreev(lines);
+}
+
+static bool
+load_all(LrSettings *settings, LrArena *arena, const Options *options,
+         const char *file)
 {
     const LrObjectSpec *spec = &LrSettings_Spec;
     LrFaults *faults = LrFaults_New();
+    if (file) {
+        load_file(options, file, faults);
+    }
     for (size_t i = 0; i < spec->n_fields; i++) {
-        load_field(settings, arena, &spec->fields[i], options->values[i],
-                   options->names[i], faults);
+        load_field(settings, arena, &spec->fields[i], options, i, faults);
+    }
+    if (settings->hosts_url.len == 0 && settings->seeds.len == 0) {
+        LrFaults_Add(faults, "--hosts-url",
+                     "http://IP:port of the host list,"
+                     " or --seeds",
+                     "is missing");
     }
     if (settings->peer_address.len == 0) {
         settings->peer_address = settings->peer_listen;
@@ -166,9 +244,11 @@
 }
 
 bool
-LrSettings_Load(LrSettings *settings, LrArena *arena, int argc, char **argv,
-                int *exit_status)
+LrSettings_Load(LrSettings *settings, LrArena *arena,
+                const LrSettingsSource *source, int *exit_status)
 {
+    int argc = source->argc;
+    char **argv = source->argv;
     Options options = {0};
     LrRecord_Init(&LrSettings_Spec, settings);
     build_options(&options, &LrSettings_Spec, arena);
@@ -186,7 +266,9 @@
         arg_print_errors(stderr, end, argv[0]);
         *exit_status = 2;
     }
-    else if (!load_all(settings, arena, &options)) {
+    else if (!load_all(settings, arena, &options,
+                       options.file->count > 0 ? options.file->sval[0]
+                                               : source->file)) {
         *exit_status = 2;
     }
     else if (options.check->count > 0) {
--- a/liblavenderrail/store.c
+++ b/liblavenderrail/store.c
@@ -145,6 +145,38 @@
     return value && value->revision == revision;
 }
 
+LrStr
+LrStore_Get(const LrStore *store, const char *name)
+{
+    const Value *value = g_tree_lookup(store->values, name);
+    return value ? (LrStr){.ptr = value->text, .len = value->len}
+                 : LrStr_FromC("");
+}
+
+typedef struct {
+    void (*func)(void *data, const char *name, LrStr text);
+    void *data;
+} Visitor;
+
+static gboolean
+visit_value(gpointer name, gpointer data, gpointer user)
+{
+    const Value *value = data;
+    const Visitor *visitor = user;
+    visitor->func(visitor->data, name,
+                  (LrStr){.ptr = value->text, .len = value->len});
+    return FALSE;
+}
+
+void
+LrStore_Each(const LrStore *store,
+             void (*func)(void *data, const char *name, LrStr text),
+             void *data)
+{
+    Visitor visitor = {.func = func, .data = data};
+    g_tree_foreach(store->values, visit_value, &visitor);
+}
+
 static gboolean
 collect_name(gpointer name, gpointer value, gpointer user)
 {
@@ -200,6 +232,13 @@
     return g_string_free(text, FALSE);
 }
 
+LrCatalogue *
+LrStore_Build(const LrStore *store, LrFaults *faults)
+{
+    g_autofree char *text = LrStore_Assemble(store);
+    return LrCatalogue_Parse(LrStr_FromC(text), faults);
+}
+
 static gboolean
 digest_value(gpointer name, gpointer data, gpointer user)
 {
--- /dev/null
+++ b/liblavenderrail/upstream.h
@@ -0,0 +1,62 @@
+/* Connections to targets: kept ones are used again, one request at a time on
+ * each, and what became of every request is told as far as it can be known. */
+#ifndef LAVENDERRAIL_UPSTREAM_H
+#define LAVENDERRAIL_UPSTREAM_H
+
+#include "http1.h"
+#include "loop_timers.h"
+
+typedef struct LrUpstream LrUpstream;
+typedef struct LrUpstreamCall LrUpstreamCall;
+
+typedef enum {
+    LR_UPSTREAM_OK,
+    /* Nothing was written to a connection. */
+    LR_UPSTREAM_NOT_SENT,
+    /* A kept connection ended without any byte of a response. */
+    LR_UPSTREAM_STALE,
+    LR_UPSTREAM_BROKEN,
+    LR_UPSTREAM_TIMEOUT,
+    /* The response is no HTTP or too large. */
+    LR_UPSTREAM_MALFORMED,
+} LrUpstreamEnd;
+
+typedef struct {
+    /* Tells targets apart that had the same address one after the other. */
+    LrStr key;
+    LrStr address;
+    /* Appends the head of the request when it is about to be sent. */
+    void (*write_head)(void *data, LrTime now, GString *out);
+    /* Whether a response belongs to the request; others are passed over. */
+    bool (*is_own)(void *data, const LrMessage *response);
+    /* Called once, never from within LrUpstream_Send; the response is valid
+     * within the call, and NULL unless the end is OK. */
+    void (*done)(void *data, LrUpstreamEnd end, LrMessage *response);
+    void *data;
+    GBytes *body;
+    /* The response has no body whatever its head says. */
+    bool bodyless;
+    LrTime deadline;
+    /* Kept connections that were idle for longer are not used. */
+    LrTime max_idle;
+} LrUpstreamSpec;
+
+typedef struct {
+    struct ev_loop *loop;
+    LrLoopTimers *timers;
+    LrLog *log;
+    LrCounters *counters;
+    LrTime connect_timeout;
+    size_t max_response_bytes;
+    size_t max_connections;
+} LrUpstreamConfig;
+
+LrUpstream *LrUpstream_New(const LrUpstreamConfig *config);
+void LrUpstream_Free(LrUpstream *upstream);
+LrUpstreamCall *LrUpstream_Send(LrUpstream *upstream,
+                                const LrUpstreamSpec *spec);
+/* Nobody waits for the response any more: the call ends by that time. */
+void LrUpstreamCall_Shorten(LrUpstreamCall *call, LrTime deadline);
+size_t LrUpstream_Open(const LrUpstream *upstream);
+
+#endif
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -3,6 +3,7 @@
 #include "lavenderrail.h"
 
 struct LrStates {
+    GHashTable *groups;
     GHashTable *services;
     GHashTable *entries;
 };
@@ -24,6 +25,8 @@
                                              free_service_state);
     states->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    states->groups =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return states;
 }
 
@@ -33,6 +36,7 @@
     if (!states) {
         return;
     }
+    g_hash_table_unref(states->groups);
     g_hash_table_unref(states->services);
     g_hash_table_unref(states->entries);
     g_free(states);
@@ -57,6 +61,20 @@
     return state;
 }
 
+static LrGroupState *
+group_state(LrStates *states, LrStr name)
+{
+    char *key = LrStr_Dup(name);
+    LrGroupState *state = g_hash_table_lookup(states->groups, key);
+    if (state) {
+        g_free(key);
+        return state;
+    }
+    state = g_new0(LrGroupState, 1);
+    g_hash_table_insert(states->groups, key, state);
+    return state;
+}
+
 static LrEntryState *
 entry_state(LrStates *states, const LrEntrySpec *spec, LrTime now)
 {
@@ -169,7 +187,8 @@
 
 static void
 build_map(LrView *view, LrMap *map, const LrMapSpec *spec,
-          const LrServiceSpec *service, const LrTopology *topology, LrTime now)
+          const LrServiceSpec *service, LrStates *states,
+          const LrTopology *topology, LrTime now)
 {
     uint32_t connections = (uint32_t)service->connections;
     Chosen chosen = {
@@ -189,6 +208,7 @@
         }
         init_group(&map->groups[i], map, group->name,
                    chosen.direct ? group->n_replicas : chosen.size);
+        map->groups[i].state = group_state(states, group->name);
         if (chosen.direct) {
             build_direct(view, &map->groups[i], group,
                          LrSubset_Links(connections, chosen.size), now);
@@ -223,7 +243,8 @@
     qsort(order, spec->n_maps, sizeof(LrMapSpec *), newest_first);
     for (size_t i = 0; i < spec->n_maps; i++) {
         service->maps[i].service = service;
-        build_map(view, &service->maps[i], order[i], spec, topology, now);
+        build_map(view, &service->maps[i], order[i], spec, states, topology,
+                  now);
     }
 }
 
--- a/liblavenderrail/watch.c
+++ b/liblavenderrail/watch.c
@@ -4,7 +4,7 @@
  * revision, and the values; only values that changed are read. A revision
  * is taken up when it is higher than the one in force and valid as a whole;
  * a stale or failing service never turns it back. */
-#include "lavenderrail.h"
+#include "keeper.h"
 
 #include <string.h>
 
@@ -31,19 +31,21 @@
     Source manifest;
     Source hosts;
     bool reading;
-    LrStore *store;
     /* Being read: the values to come, and those that are there. */
     LrStore *candidate;
     json_t *wanted;
     GPtrArray *pending;
-    LrTime accepted_at;
-    int64_t refused_revision;
-    char *refused_why;
     int64_t hosts_revision;
 };
 
 static void read_next(LrWatch *watch);
 
+static const LrStore *
+in_force(const LrWatch *watch)
+{
+    return LrKeeper_Store(watch->config.keeper);
+}
+
 /* Calls the source again after a jittered pause. */
 static void
 schedule(Source *source, LrTime pause)
@@ -80,67 +82,6 @@
     g_free(url);
 }
 
-static void
-refuse(LrWatch *watch, int64_t revision, const LrFaults *faults,
-       const char *source)
-{
-    watch->refused_revision = revision;
-    g_free(watch->refused_why);
-    watch->refused_why = LrFaults_ToText(faults);
-    LrCounters_Add(watch->config.counters, LR_COUNT_CATALOGUE_REFUSED, 1);
-    LR_LOG(watch->config.log, LOG_ERR, "catalogue_refused",
-           LrLog_Int("revision", revision), LrLog_C("source", source),
-           LrLog_C("why", watch->refused_why));
-}
-
-static void
-accept(LrWatch *watch, LrStore *store, LrCatalogue *catalogue,
-       const char *source)
-{
-    LrStore_Free(watch->store);
-    watch->store = store;
-    watch->accepted_at = LrLoop_Now();
-    LrCounters_Add(watch->config.counters, LR_COUNT_CATALOGUE_ACCEPTED, 1);
-    LR_LOG(watch->config.log, LOG_NOTICE, "catalogue_accepted",
-           LrLog_Int("revision", catalogue->spec.revision),
-           LrLog_C("source", source));
-    watch->config.catalogue(watch->config.data, catalogue);
-}
-
-bool
-LrWatch_Offer(LrWatch *watch, LrStore *store, const char *source)
-{
-    g_autofree char *text = LrStore_Assemble(store);
-    LrFaults *faults = LrFaults_New();
-    LrCatalogue *catalogue = LrCatalogue_Parse(LrStr_FromC(text), faults);
-    int64_t revision = LrStore_Revision(store);
-    bool newer = catalogue && revision > LrStore_Revision(watch->store);
-    if (!catalogue) {
-        refuse(watch, revision, faults, source);
-    }
-    if (newer) {
-        accept(watch, store, catalogue, source);
-    }
-    else {
-        LrStore_Free(store);
-    }
-    LrCatalogue_Unref(catalogue);
-    LrFaults_Free(faults);
-    return newer;
-}
-
-const LrStore *
-LrWatch_Store(const LrWatch *watch)
-{
-    return watch->store;
-}
-
-int64_t
-LrWatch_RefusedRevision(const LrWatch *watch)
-{
-    return watch->refused_revision;
-}
-
 static void
 on_value(void *data, const LrTransferResult *result)
 {
@@ -169,7 +110,8 @@
 read_next(LrWatch *watch)
 {
     if (watch->pending->len == 0) {
-        LrWatch_Offer(watch, g_steal_pointer(&watch->candidate), "service");
+        LrKeeper_Offer(watch->config.keeper,
+                       g_steal_pointer(&watch->candidate), "service");
         schedule(&watch->manifest, 0);
         return;
     }
@@ -191,7 +133,7 @@
 static void
 drop_unwanted(LrWatch *watch)
 {
-    GPtrArray *names = LrStore_Names(watch->store);
+    GPtrArray *names = LrStore_Names(in_force(watch));
     int64_t revision = LrStore_Revision(watch->candidate);
     for (guint i = 0; i < names->len; i++) {
         if (!json_object_get(watch->wanted, names->pdata[i])) {
@@ -207,7 +149,7 @@
 {
     g_ptr_array_set_size(watch->pending, 0);
     LrStore_Free(watch->candidate);
-    watch->candidate = LrStore_Fork(watch->store);
+    watch->candidate = LrStore_Fork(in_force(watch));
     LrStore_SetRevision(watch->candidate, manifest_revision);
     drop_unwanted(watch);
     const char *name;
@@ -217,7 +159,8 @@
         if (!json_is_integer(revision) || !is_value_name(name)) {
             return false;
         }
-        if (!LrStore_Has(watch->store, name, json_integer_value(revision))) {
+        if (!LrStore_Has(in_force(watch), name,
+                         json_integer_value(revision))) {
             g_ptr_array_add(watch->pending, g_strdup(name));
         }
     }
@@ -234,8 +177,8 @@
         return;
     }
     int64_t number = json_integer_value(revision);
-    if (number <= LrStore_Revision(watch->store) ||
-        number == watch->refused_revision) {
+    if (number <= LrStore_Revision(in_force(watch)) ||
+        number == LrKeeper_RefusedRevision(watch->config.keeper)) {
         schedule(&watch->manifest, watch->config.retry);
         return;
     }
@@ -285,8 +228,8 @@
         schedule(&watch->manifest, watch->config.wait);
         return;
     }
-    int64_t after =
-        MAX(LrStore_Revision(watch->store), watch->refused_revision);
+    int64_t after = MAX(LrStore_Revision(in_force(watch)),
+                        LrKeeper_RefusedRevision(watch->config.keeper));
     char *url = watch_url(watch, watch->config.config_url, "manifest", after);
     send_get(watch, &watch->manifest, url, watch->config.wait + WATCH_SLACK,
              on_manifest);
@@ -387,7 +330,6 @@
 {
     LrWatch *watch = g_new0(LrWatch, 1);
     watch->config = *config;
-    watch->store = LrStore_New();
     watch->reading = true;
     watch->pending = g_ptr_array_new_with_free_func(g_free);
     init_source(watch, &watch->manifest, start_manifest);
@@ -412,11 +354,9 @@
     }
     stop_source(&watch->manifest);
     stop_source(&watch->hosts);
-    LrStore_Free(watch->store);
     LrStore_Free(watch->candidate);
     g_ptr_array_unref(watch->pending);
     json_decref(watch->wanted);
-    g_free(watch->refused_why);
     g_free(watch);
 }
 
@@ -430,13 +370,9 @@
 LrWatch_Dump(const LrWatch *watch)
 {
     return json_pack(
-        "{s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:s}", "reading",
-        watch->reading, "revision", (json_int_t)LrStore_Revision(watch->store),
-        "age_ms", (json_int_t)age_ms(watch->accepted_at), "service_heard_ms",
-        (json_int_t)age_ms(watch->manifest.answered_at), "service_failures",
-        (json_int_t)watch->manifest.failures, "hosts_revision",
-        (json_int_t)watch->hosts_revision, "hosts_heard_ms",
-        (json_int_t)age_ms(watch->hosts.answered_at), "refused_revision",
-        (json_int_t)watch->refused_revision, "refused_why",
-        watch->refused_why ? watch->refused_why : "");
+        "{s:b, s:I, s:I, s:I, s:I}", "reading", watch->reading,
+        "service_heard_ms", (json_int_t)age_ms(watch->manifest.answered_at),
+        "service_failures", (json_int_t)watch->manifest.failures,
+        "hosts_revision", (json_int_t)watch->hosts_revision, "hosts_heard_ms",
+        (json_int_t)age_ms(watch->hosts.answered_at));
 }
