view, gateway: relays: keep every shard direct in the routed contract

Cause: with add_nodes nine daemons share targets of 30 connections, the subset became smaller than the fleet, and parts were handed to the relay, which has no routed form: SIGSEGV on 5 of 9 machines. An answer queued for a caller that went away was the second way to a freed request.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -374,6 +374,7 @@
         .budget = budget_of(&daemon->settings),
         .hedge_medians = daemon->settings.hedge_medians,
         .answer_margin = daemon->settings.answer_margin_ms * LR_MILLISECOND,
+        .direct = routed,
         .track_withdrawn = routed,
         .policy = routed ? &LrRoutePolicy_Finish : &LrRoutePolicy_Estimate,
         .counters = daemon->counters,
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -134,6 +134,7 @@
         .daemons = (const LrPeerSpec *)(void *)engine->peers->data,
         .n_daemons = engine->peers->len,
         .links = engine->links,
+        .direct = engine->config.direct,
     };
     LrView *former = engine->view;
     engine->view =
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -222,10 +222,12 @@
            LrLog_C("id", routed->id),
            LrLog_Int("ms", (LrLoop_Now() - LrCall_ArrivedAt(call)) /
                                LR_MILLISECOND));
-    LrEngine_Cancel(gateway->daemon->engine, LrLoop_Now(),
-                    routed->pending.query);
+    /* An answer that is on its way already ends the request itself. */
+    if (LrEngine_Cancel(gateway->daemon->engine, LrLoop_Now(),
+                        routed->pending.query)) {
+        unref_routed(routed);
+    }
     LrDaemon_Settle(gateway->daemon);
-    unref_routed(routed);
 }
 
 static void
@@ -459,6 +461,10 @@
 void
 LrGateway_Answered(LrRouted *routed, const LrAnswer *answer)
 {
+    if (!routed->call) {
+        unref_routed(routed);
+        return;
+    }
     GString *head = g_string_new(NULL);
     unsigned status;
     GBytes *body = compose(routed, answer, head, &status);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -587,6 +587,8 @@
     const LrPeerSpec *daemons;
     size_t n_daemons;
     uint32_t links;
+    /* Every daemon talks to every target. */
+    bool direct;
 } LrTopology;
 
 /* view.c: the catalogue in force, resolved to targets. */
@@ -881,6 +883,8 @@
     double hedge_medians;
     /* Kept of a soft deadline for the way back to the caller. */
     LrTime answer_margin;
+    /* No shard is reached by way of other daemons. */
+    bool direct;
     /* Withdrawn attempts go on to count at their target until the edge tells
      * how they ended. */
     bool track_withdrawn;
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -164,7 +164,7 @@
               size_t bundle)
 {
     const LrTopology *topology = chosen->topology;
-    if (chosen->size == topology->n_daemons) {
+    if (topology->direct || chosen->size == topology->n_daemons) {
         chosen->direct = true;
         return;
     }
@@ -193,8 +193,10 @@
     uint32_t connections = (uint32_t)service->connections;
     Chosen chosen = {
         .topology = topology,
-        .size =
-            LrSubset_Size(connections, topology->links, topology->n_daemons),
+        .size = topology->direct
+                    ? topology->n_daemons
+                    : LrSubset_Size(connections, topology->links,
+                                    topology->n_daemons),
         .chosen = g_new0(size_t, topology->n_daemons + 1),
     };
     map->version = spec->version;
