--- a/liblavenderrail/budget.c
+++ b/liblavenderrail/budget.c
@@ -1,21 +1,28 @@
-/* Repeated requests to one service in a sliding window: hedges and retries
- * together stay under a share of its requests and a fixed number. */
+/* Repeated requests to one service in sliding windows: hedges and retries
+ * together stay under a share of its first requests and a fixed number.
+ *
+ * An observer may start its window at any moment, and compares the repeats in
+ * it with the first requests in it, in the window before it, or in the one
+ * half a window earlier, whichever has most. So a repeat is allowed when it
+ * fits each window that it falls into. */
 #include "lavenderrail.h"
 
+enum { WINDOW = LR_BUDGET_SLOTS, RING = 2 * LR_BUDGET_SLOTS + 1 };
+
 static LrTime
 slot_width(const LrBudgetRule *rule)
 {
-    return MAX(1, rule->window / LR_BUDGET_SLOTS);
+    return MAX(1, rule->window / WINDOW);
 }
 
-/* Clears the slots that have left the window. */
+/* Clears the slots that have left the ring. */
 static void
 turn(LrBudget *budget, const LrBudgetRule *rule, LrTime now)
 {
     int64_t slot = now / slot_width(rule);
-    int64_t passed = MIN(slot - budget->slot, LR_BUDGET_SLOTS + 1);
+    int64_t passed = MIN(slot - budget->slot, RING);
     for (int64_t i = 0; i < passed; i++) {
-        int64_t at = (slot - i) % (LR_BUDGET_SLOTS + 1);
+        int64_t at = (slot - i) % RING;
         budget->firsts[at] = 0;
         budget->repeats[at] = 0;
     }
@@ -25,7 +32,7 @@
 static size_t
 current(const LrBudget *budget)
 {
-    return (size_t)(budget->slot % (LR_BUDGET_SLOTS + 1));
+    return (size_t)(budget->slot % RING);
 }
 
 void
@@ -35,28 +42,57 @@
     budget->firsts[current(budget)]++;
 }
 
+/* Running totals: entry i is the sum of the i oldest slots, so that the
+ * current one is the last. */
 static void
-sum(const LrBudget *budget, const LrBudgetRule *rule, double *allowed,
-    double *used)
+add_up(const uint32_t *counts, const LrBudget *budget, double totals[RING + 1])
 {
-    uint64_t firsts = 0;
-    uint64_t repeats = 0;
-    for (size_t i = 0; i <= LR_BUDGET_SLOTS; i++) {
-        firsts += budget->firsts[i];
-        repeats += budget->repeats[i];
+    totals[0] = 0;
+    for (size_t i = 0; i < RING; i++) {
+        size_t at = (size_t)((budget->slot + 1 + (int64_t)i) % RING);
+        totals[i + 1] = totals[i] + counts[at];
     }
-    *allowed = rule->ratio * (double)firsts + rule->extra;
-    *used = (double)repeats;
+}
+
+/* First requests that count for a window from a slot on. A window may start
+ * within a slot, so that one slot of each stretch is left out. */
+static double
+firsts_for(const double firsts[RING + 1], size_t start)
+{
+    size_t middle = MIN(RING, start + WINDOW / 2);
+    double in_window = firsts[RING] - firsts[MIN(RING, start + 1)];
+    double before = firsts[start] - firsts[start - WINDOW + 1];
+    double half_before = firsts[middle] - firsts[start - WINDOW / 2 + 1];
+    return MAX(in_window, MAX(before, half_before));
+}
+
+/* The fewest repeats that any window still allows; *most is set to what that
+ * window allows in all. */
+static double
+room(LrBudget *budget, const LrBudgetRule *rule, LrTime now, double *most)
+{
+    double firsts[RING + 1];
+    double repeats[RING + 1];
+    turn(budget, rule, now);
+    add_up(budget->firsts, budget, firsts);
+    add_up(budget->repeats, budget, repeats);
+    double least = G_MAXDOUBLE;
+    for (size_t start = WINDOW; start < RING; start++) {
+        double allowed = rule->ratio * firsts_for(firsts, start) + rule->extra;
+        double left = allowed - (repeats[RING] - repeats[start]);
+        if (left < least) {
+            least = left;
+            *most = allowed;
+        }
+    }
+    return least;
 }
 
 bool
 LrBudget_TakeRepeat(LrBudget *budget, const LrBudgetRule *rule, LrTime now)
 {
-    double allowed;
-    double used;
-    turn(budget, rule, now);
-    sum(budget, rule, &allowed, &used);
-    if (used + 1 > allowed) {
+    double most;
+    if (room(budget, rule, now, &most) < 1) {
         return false;
     }
     budget->repeats[current(budget)]++;
@@ -66,9 +102,7 @@
 double
 LrBudget_Left(LrBudget *budget, const LrBudgetRule *rule, LrTime now)
 {
-    double allowed;
-    double used;
-    turn(budget, rule, now);
-    sum(budget, rule, &allowed, &used);
-    return allowed > 0 ? CLAMP(1 - used / allowed, 0, 1) : 0;
+    double most;
+    double left = room(budget, rule, now, &most);
+    return most > 0 ? CLAMP(left / most, 0, 1) : 0;
 }
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -372,6 +372,7 @@
         .hedge_share = daemon->settings.hedge_share,
         .retry_share = daemon->settings.retry_share,
         .budget = budget_of(&daemon->settings),
+        .budget_daemons = daemon->settings.budget_daemons,
         .hedge_medians = daemon->settings.hedge_medians,
         .answer_margin = daemon->settings.answer_margin_ms * LR_MILLISECOND,
         .direct = routed,
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -80,7 +80,8 @@
     }
     /* Each daemon has its part of what is allowed beyond the ratio. */
     LrBudgetRule own = *rule;
-    own.extra /= MAX(1, engine->share.count);
+    own.extra /= (double)MAX(MAX(1, engine->config.budget_daemons),
+                             engine->share.count);
     bool taken = LrBudget_TakeRepeat(&part->group->state->budget, &own, now);
     LrCounters_Add(engine->config.counters, LR_COUNT_BUDGET_REFUSED, !taken);
     return taken;
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -364,6 +364,8 @@
     int64_t budget_extra;
     /* window in which repeated requests are counted */
     int64_t budget_window_ms;
+    /* daemons that budget-extra is divided by at the least */
+    int64_t budget_daemons;
     /* a part is hedged after this many median latencies; 0 to hedge by quantile */
     double hedge_medians;
     /* kept of an objective for the way back to the caller */
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -356,11 +356,10 @@
     LrTime window;
 } LrBudgetRule;
 
-/* Zeroed at first. Counts of one slot more than the window holds, so that
- * the sum is never of less than a window. */
+/* Zeroed at first. Counts by slot of the last two windows. */
 typedef struct {
-    uint32_t firsts[LR_BUDGET_SLOTS + 1];
-    uint32_t repeats[LR_BUDGET_SLOTS + 1];
+    uint32_t firsts[2 * LR_BUDGET_SLOTS + 1];
+    uint32_t repeats[2 * LR_BUDGET_SLOTS + 1];
     int64_t slot;
 } LrBudget;
 
@@ -888,6 +887,9 @@
     /* Withdrawn attempts go on to count at their target until the edge tells
      * how they ended. */
     bool track_withdrawn;
+    /* Daemons that the budget is divided by at the least: a host that starts
+     * again, or does not know its peers yet, must not spend for all. */
+    int64_t budget_daemons;
     const LrRoutePolicy *policy;
     LrCounters *counters;
     LrLog *log;
--- /dev/null
+++ b/tests/test_budget.cc
@@ -0,0 +1,107 @@
+/* Repeats stay under the budget in every window that an observer counts. */
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "lavenderrail.h"
+
+namespace {
+
+const LrBudgetRule RULE = {
+    .ratio = 0.2,
+    .extra = 10,
+    .window = 10 * LR_SECOND,
+};
+
+struct Event {
+    LrTime at;
+    bool repeat;
+};
+
+/* The greatest excess over the budget of any window, as the rule counts it:
+ * first requests of the window, of the one before it, or of the one half a
+ * window before it, whichever has most. */
+double
+worst_excess(const std::vector<Event> &events, const LrBudgetRule &rule)
+{
+    auto count = [&](LrTime from, bool repeat) {
+        int n = 0;
+        for (const Event &event : events) {
+            n += event.repeat == repeat && event.at >= from &&
+                 event.at < from + rule.window;
+        }
+        return n;
+    };
+    double worst = -1e9;
+    for (const Event &event : events) {
+        if (!event.repeat) {
+            continue;
+        }
+        int firsts = std::max({count(event.at, false),
+                               count(event.at - rule.window, false),
+                               count(event.at - rule.window / 2, false)});
+        double allowed = rule.ratio * firsts + rule.extra;
+        worst = std::max(worst, count(event.at, true) - allowed);
+    }
+    return worst;
+}
+
+/* Repeats are tried for every request, at a rate that changes. */
+std::vector<Event>
+play(uint64_t seed, double surge)
+{
+    LrRandom *random = LrRandom_New(seed);
+    LrBudget budget = {};
+    std::vector<Event> events;
+    LrTime now = 1000 * LR_SECOND;
+    LrTime end = now + 60 * LR_SECOND;
+    while (now < end) {
+        bool high = now / (15 * LR_SECOND) % 2 == 1;
+        double rate = high ? 40 * surge : 40;
+        now += (LrTime)(2 * LrRandom_Unit(random) / rate * LR_SECOND);
+        LrBudget_AddFirst(&budget, &RULE, now);
+        events.push_back({now, false});
+        if (LrBudget_TakeRepeat(&budget, &RULE, now)) {
+            events.push_back({now, true});
+        }
+    }
+    LrRandom_Free(random);
+    return events;
+}
+
+} // namespace
+
+TEST(Budget, HoldsInEveryWindow)
+{
+    for (uint64_t seed = 1; seed <= 8; seed++) {
+        for (double surge : {1.0, 0.2, 3.0}) {
+            EXPECT_LE(worst_excess(play(seed, surge), RULE), 0)
+                << "seed " << seed << " surge " << surge;
+        }
+    }
+}
+
+TEST(Budget, GivesWhatTheRuleAllows)
+{
+    size_t repeats = 0;
+    std::vector<Event> events = play(1, 1.0);
+    for (const Event &event : events) {
+        repeats += event.repeat;
+    }
+    double firsts = (double)(events.size() - repeats);
+    EXPECT_GE((double)repeats, 0.8 * RULE.ratio * firsts);
+}
+
+TEST(Budget, LeftFallsWithUse)
+{
+    LrBudget budget = {};
+    LrTime now = LR_SECOND;
+    EXPECT_DOUBLE_EQ(LrBudget_Left(&budget, &RULE, now), 1);
+    for (int i = 0; i < 10; i++) {
+        EXPECT_TRUE(LrBudget_TakeRepeat(&budget, &RULE, now));
+    }
+    EXPECT_FALSE(LrBudget_TakeRepeat(&budget, &RULE, now));
+    EXPECT_DOUBLE_EQ(LrBudget_Left(&budget, &RULE, now), 0);
+    now += 2 * RULE.window;
+    EXPECT_DOUBLE_EQ(LrBudget_Left(&budget, &RULE, now), 1);
+}
