platform, feed: store: notice a silent store within its bounds

A connect to a silent store hung in its retransmissions (7.5 s), the next watch was begun on a store that did not answer, and watches cut by a compaction ended without a word. Ruled out: peers (they deliver within a second, but all hosts hung alike). Now a connect ends after 1 s, calls are short while the store fails, a watch waits 3 s at most, and changes gather for 250 ms.

--- a/liblavenderrail/client.c
+++ b/liblavenderrail/client.c
@@ -6,7 +6,10 @@
  * a body twice, and a body that was never read was never sent. */
 #include "lavenderrail.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <curl/curl.h>
 #include <ev.h>
@@ -307,6 +310,29 @@
     curl_easy_setopt(easy, CURLOPT_READDATA, transfer);
 }
 
+/* A connection that goes silent without a reset is noticed in about three
+ * seconds, also while a long call waits on it. */
+static int
+set_socket_options(void *data, curl_socket_t fd, curlsocktype purpose)
+{
+    (void)data;
+    (void)purpose;
+    const struct {
+        int level;
+        int name;
+        int value;
+    } options[] = {
+        {SOL_SOCKET, SO_KEEPALIVE, 1},         {IPPROTO_TCP, TCP_KEEPIDLE, 1},
+        {IPPROTO_TCP, TCP_KEEPINTVL, 1},       {IPPROTO_TCP, TCP_KEEPCNT, 2},
+        {IPPROTO_TCP, TCP_USER_TIMEOUT, 3000},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+        setsockopt(fd, options[i].level, options[i].name, &options[i].value,
+                   sizeof(options[i].value));
+    }
+    return CURL_SOCKOPT_OK;
+}
+
 LrTransfer *
 LrClient_Send(LrClient *client, const LrTransferSpec *spec)
 {
@@ -327,6 +353,11 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, MAX(timeout_ms, 1L));
+    if (spec->connect_timeout > 0) {
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                         (long)(spec->connect_timeout / LR_MILLISECOND));
+    }
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
     set_headers(transfer, spec);
     if (spec->post) {
         set_body(transfer, spec);
--- a/liblavenderrail/feed.c
+++ b/liblavenderrail/feed.c
@@ -7,7 +7,7 @@
 /* A service that failed for less was not away for its writers. */
 #define OUTAGE_MIN (500 * LR_MILLISECOND)
 /* Changes gather for this long before the next watch asks for more. */
-#define GATHER (100 * LR_MILLISECOND)
+#define GATHER (250 * LR_MILLISECOND)
 
 struct LrFeed {
     LrFeedConfig config;
@@ -91,6 +91,7 @@
         return call;
     }
     call.kind = LR_FEED_WATCH;
+    call.may_wait = feed->failing_since == 0;
     call.after_revision = MAX(feed->revision, LrStore_Revision(base));
     return call;
 }
@@ -199,6 +200,8 @@
         LR_LOG(feed->config.log, LOG_WARNING, "source_lost",
                LrLog_C("why", why), LrLog_Int("revision", feed->revision));
     }
+    LR_LOG(feed->config.log, LOG_INFO, "source_call_failed",
+           LrLog_C("why", why), LrLog_Int("failures", feed->failures + 1));
     LrTime pause = feed->config.retry << MIN(feed->failures, 8);
     double jitter = 0.5 + LrRandom_Unit(feed->config.random);
     feed->failures++;
--- a/liblavenderrail/feed.h
+++ b/liblavenderrail/feed.h
@@ -45,8 +45,10 @@
     /* Of a list: the page after this key of the service; NULL for the first.
      * Borrowed from the feed. */
     const char *after_key;
-    /* Of a watch: the revision to go on from. */
+    /* Of a watch: the revision to go on from, and whether it may wait for
+     * changes; one that may not shows whether the service is back. */
     int64_t after_revision;
+    bool may_wait;
 } LrFeedCall;
 
 LrFeed *LrFeed_New(const LrFeedConfig *config);
--- a/liblavenderrail/keeper.c
+++ b/liblavenderrail/keeper.c
@@ -65,7 +65,7 @@
     LrFaults *faults = LrFaults_New();
     LrCatalogue *catalogue = keeper->config.build(store, faults);
     bool taken = catalogue && revision >= least;
-    if (!catalogue) {
+    if (!catalogue && LrFaults_Count(faults) > 0) {
         refuse(keeper, revision, faults, source);
     }
     if (taken) {
--- a/liblavenderrail/keeper.h
+++ b/liblavenderrail/keeper.h
@@ -12,7 +12,8 @@
 typedef struct {
     LrLog *log;
     LrCounters *counters;
-    /* Builds a catalogue; NULL with the faults when the values are invalid. */
+    /* Builds a catalogue; NULL with the faults when the values are invalid,
+     * NULL without any when they hold no configuration yet. */
     LrCatalogue *(*build)(const LrStore *store, LrFaults *faults);
     /* A catalogue was accepted; the receiver takes a reference. */
     void (*catalogue)(void *data, LrCatalogue *catalogue);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1102,6 +1102,8 @@
     size_t n_headers;
     GBytes *body;
     LrTime timeout;
+    /* 0 for no bound but the timeout. */
+    LrTime connect_timeout;
     LrTransferFunc done;
     void *data;
 } LrTransferSpec;
--- a/liblavenderrail/routing.c
+++ b/liblavenderrail/routing.c
@@ -288,8 +288,6 @@
 {
     LrStr text = LrStore_Get(store, LR_ROUTING_VALUE);
     if (text.len == 0) {
-        LrFaults_Add(faults, "$", "write a configuration",
-                     "has no configuration yet");
         return NULL;
     }
     Builder builder = {.routes = read_routes(text, faults)};
