--- a/liblavenderrail/http1.c
+++ b/liblavenderrail/http1.c
@@ -5,6 +5,9 @@
 
 #include <http_parser.h>
 
+/* Colon, blank and line end of a header line. */
+enum { LINE_OVERHEAD = 4 };
+
 typedef struct {
     size_t name_at;
     size_t name_len;
@@ -54,13 +57,26 @@
     return parser->data;
 }
 
+/* Counts bytes of the head; not zero when they are too many. */
 static int
-on_url(http_parser *parser, const char *at, size_t len)
+count_head(LrMessage *message, size_t len)
 {
-    g_string_append_len(message_of(parser)->target, at, (gssize)len);
+    message->n_head += len;
+    if (message->n_head > message->max_head) {
+        message->fault = LR_MESSAGE_HEAD_TOO_LARGE;
+        return -1;
+    }
     return 0;
 }
 
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+    LrMessage *message = message_of(parser);
+    g_string_append_len(message->target, at, (gssize)len);
+    return count_head(message, len);
+}
+
 static int
 on_status(http_parser *parser, const char *at, size_t len)
 {
@@ -80,12 +96,13 @@
         Span span = {.name_at = message->text->len};
         g_array_append_val(message->headers, span);
         message->in_value = false;
+        message->n_head += LINE_OVERHEAD;
     }
     Span *last =
         &g_array_index(message->headers, Span, message->headers->len - 1);
     g_string_append_len(message->text, at, (gssize)len);
     last->name_len += len;
-    return 0;
+    return count_head(message, len);
 }
 
 static int
@@ -103,7 +120,7 @@
     }
     g_string_append_len(message->text, at, (gssize)len);
     last->value_len += len;
-    return 0;
+    return count_head(message, len);
 }
 
 static int
@@ -254,16 +271,9 @@
     *used = 0;
     while (*used < len) {
         message->started = true;
-        bool had_head = message->head_done;
         size_t got = http_parser_execute(&message->parser, &SETTINGS,
                                          data + *used, len - *used);
         *used += got;
-        if (!had_head) {
-            message->n_head += got - MIN(got, message->body->len);
-        }
-        if (message->n_head > message->max_head && !had_head) {
-            return LR_MESSAGE_HEAD_TOO_LARGE;
-        }
         if (message->complete) {
             if (skip_interim(message)) {
                 continue;
--- /dev/null
+++ b/tests/test_feed.cc
@@ -0,0 +1,191 @@
+/* Reading of a versioned service through outages, compaction and pages. */
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "feed.h"
+
+namespace {
+
+class Feed : public ::testing::Test {
+  protected:
+    void SetUp() override
+    {
+        random = LrRandom_New(1);
+        LrFeedConfig config = {
+            .random = random,
+            .absence_hold = 2200 * LR_MILLISECOND,
+            .retry = 200 * LR_MILLISECOND,
+        };
+        feed = LrFeed_New(&config);
+        base = LrStore_New();
+    }
+
+    void TearDown() override
+    {
+        LrFeed_Free(feed);
+        LrStore_Free(base);
+        LrRandom_Free(random);
+    }
+
+    static LrFeedItem item(const char *name, int64_t revision,
+                           const char *text)
+    {
+        return {LrStr_FromC(name), revision, LrStr_FromC(text)};
+    }
+
+    void page(const std::vector<LrFeedItem> &items, int64_t revision,
+              bool more = false, const char *last = "")
+    {
+        LrFeed_OnPage(feed, now, items.data(), items.size(), last, more,
+                      revision);
+        take();
+    }
+
+    void events(const std::vector<LrFeedItem> &items, int64_t revision)
+    {
+        LrFeed_OnEvents(feed, now, items.data(), items.size(), revision);
+        take();
+    }
+
+    void take()
+    {
+        LrStore *store = LrFeed_TakeStore(feed, base, now);
+        if (store) {
+            LrStore_Free(base);
+            base = store;
+        }
+    }
+
+    void pass(LrTime time)
+    {
+        now += time;
+        take();
+    }
+
+    LrFeedCall next()
+    {
+        return LrFeed_NextCall(feed, base, now);
+    }
+
+    std::string text(const char *name) const
+    {
+        LrStr found = LrStore_Get(base, name);
+        return std::string(found.ptr, found.len);
+    }
+
+    LrRandom *random;
+    LrFeed *feed;
+    LrStore *base;
+    LrTime now = 100 * LR_SECOND;
+};
+
+} // namespace
+
+TEST_F(Feed, ListsFirstAndWatchesFromTheFirstPage)
+{
+    EXPECT_EQ(next().kind, LR_FEED_LIST);
+    page({item("a", 3, "1")}, 10, true, "key-a");
+    EXPECT_EQ(next().kind, LR_FEED_LIST);
+    EXPECT_STREQ(next().after_key, "key-a");
+    EXPECT_EQ(LrStore_Revision(base), 0) << "half a listing is not in force";
+    page({item("b", 12, "2")}, 13);
+    EXPECT_EQ(text("a"), "1");
+    EXPECT_EQ(text("b"), "2");
+    EXPECT_EQ(next().kind, LR_FEED_WATCH);
+    EXPECT_EQ(next().after_revision, 10) << "pages are no snapshot";
+}
+
+TEST_F(Feed, TakesChangesAndRemovals)
+{
+    page({item("a", 3, "1"), item("b", 4, "2")}, 10);
+    events({item("a", 11, "3"), item("b", 12, "")}, 12);
+    EXPECT_EQ(text("a"), "3");
+    EXPECT_EQ(text("b"), "");
+    EXPECT_EQ(LrStore_Revision(base), 12);
+}
+
+TEST_F(Feed, AnOlderItemDoesNotUndoANewerOne)
+{
+    page({item("a", 3, "1")}, 10);
+    LrFeedItem items[] = {item("a", 12, "new"), item("a", 11, "old")};
+    LrFeed_OnEvents(feed, now, items, 2, 12);
+    take();
+    EXPECT_EQ(text("a"), "new");
+}
+
+TEST_F(Feed, ListsAgainWhenTheHistoryIsGone)
+{
+    page({item("a", 3, "1"), item("b", 4, "2")}, 10);
+    LrFeed_OnHistoryGone(feed, now);
+    EXPECT_EQ(next().kind, LR_FEED_LIST);
+    EXPECT_EQ(next().after_key, nullptr);
+    page({item("b", 4, "2")}, 20);
+    EXPECT_EQ(text("a"), "") << "the service was not away: it is gone";
+    EXPECT_EQ(text("b"), "2");
+}
+
+TEST_F(Feed, KeepsWhatAnOutageRemovedUntilItIsBack)
+{
+    page({item("a", 3, "1"), item("b", 4, "2")}, 10);
+    LrFeed_OnFailure(feed, now, "silent");
+    pass(4 * LR_SECOND);
+    events({item("a", 11, ""), item("b", 12, "")}, 12);
+    EXPECT_EQ(text("a"), "1");
+    pass(LR_SECOND);
+    events({item("a", 13, "1")}, 13);
+    pass(3 * LR_SECOND);
+    EXPECT_EQ(text("a"), "1") << "its owner came back";
+    EXPECT_EQ(text("b"), "") << "gone two seconds after the return";
+}
+
+TEST_F(Feed, HoldsEndWithoutAnEvent)
+{
+    page({item("a", 3, "1")}, 10);
+    LrFeed_OnFailure(feed, now, "silent");
+    pass(4 * LR_SECOND);
+    events({item("a", 11, "")}, 11);
+    EXPECT_EQ(LrFeed_NextDue(feed), now + 2200 * LR_MILLISECOND);
+    pass(2200 * LR_MILLISECOND);
+    EXPECT_EQ(text("a"), "");
+    EXPECT_EQ(LrFeed_NextDue(feed), LR_NEVER);
+}
+
+/* Fails when a watch that waits is the first call after a failure: a store
+ * that came back would be noticed only when that watch times out. */
+TEST_F(Feed, CallsDoNotWaitWhileTheServiceFails)
+{
+    page({item("a", 3, "1")}, 10);
+    EXPECT_TRUE(next().may_wait);
+    LrFeed_OnFailure(feed, now, "silent");
+    EXPECT_FALSE(next().may_wait);
+    EXPECT_LE(next().due, now + 300 * LR_MILLISECOND);
+    for (int i = 0; i < 10; i++) {
+        LrFeed_OnFailure(feed, now, "silent");
+    }
+    EXPECT_LE(next().due, now + 1500 * LR_MILLISECOND);
+    events({}, 10);
+    EXPECT_TRUE(next().may_wait);
+}
+
+TEST_F(Feed, APeerThatIsAheadIsNotTurnedBack)
+{
+    page({item("a", 3, "1")}, 10);
+    LrStore *ahead = LrStore_Fork(base);
+    LrStore_Set(ahead, "a", 15, LrStr_FromC("peer"));
+    LrStore_SetRevision(ahead, 15);
+    LrStore_Free(base);
+    base = ahead;
+    events({item("a", 11, "stale")}, 11);
+    EXPECT_EQ(text("a"), "peer");
+    EXPECT_EQ(next().after_revision, 15);
+}
+
+TEST_F(Feed, ReadsNothingWhenToldSo)
+{
+    LrFeed_SetReading(feed, false, now);
+    EXPECT_EQ(next().kind, LR_FEED_NOTHING);
+    LrFeed_SetReading(feed, true, now);
+    EXPECT_EQ(next().kind, LR_FEED_LIST);
+}
--- /dev/null
+++ b/tests/test_routing.cc
@@ -0,0 +1,166 @@
+/* Routes by host and longest prefix, backends by weight, and the catalogue
+ * that a routed store makes. */
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "routing.h"
+
+namespace {
+
+const char CONFIG[] = R"({"version": 7, "routes": [
+  {"name": "all", "host": "a.example", "prefix": "/", "idempotent": true,
+   "timeout_ms": 500, "max_attempts": 2,
+   "backends": [{"shards": [{"service": "one"}]}]},
+  {"name": "deep", "host": "a.example", "prefix": "/x/y/",
+   "backends": [{"shards": [{"service": "one"}], "weight": 3},
+                {"shards": [{"service": "two"}], "weight": 1}]},
+  {"name": "wide", "host": "b.example", "prefix": "/q/", "scatter": true,
+   "idempotent": true, "objective_ms": 60, "top_k": 5, "min_coverage": 0.75,
+   "backends": [{"shards": [{"service": "one"}, {"service": "two"}]}]}],
+  "pools": [{"name": "one", "connections": 12}]})";
+
+const char TARGET[] = R"({"id": "i-1", "service": "one",
+  "address": "10.0.0.1:80", "zone": "z", "slots": 3, "born_ms": %BORN%})";
+
+class Routing : public ::testing::Test {
+  protected:
+    void SetUp() override
+    {
+        store = LrStore_New();
+        faults = LrFaults_New();
+        LrStore_SetRevision(store, 9);
+        LrStore_Set(store, LR_ROUTING_VALUE, 3, LrStr_FromC(CONFIG));
+    }
+
+    void TearDown() override
+    {
+        LrCatalogue_Unref(catalogue);
+        LrStore_Free(store);
+        LrFaults_Free(faults);
+    }
+
+    void build()
+    {
+        LrCatalogue_Unref(catalogue);
+        catalogue = LrRouting_Build(store, faults);
+    }
+
+    std::string lookup(const char *host, const char *path)
+    {
+        const LrRoute *route =
+            LrRoutes_Lookup(LrRouting_Routes(catalogue), LrStr_FromC(host),
+                            LrStr_FromC(path));
+        return route ? std::string(route->spec->name.ptr,
+                                   route->spec->name.len)
+                     : "none";
+    }
+
+    void add_target(const char *born)
+    {
+        std::string text = TARGET;
+        text.replace(text.find("%BORN%"), 6, born);
+        LrStore_Set(store, LR_INSTANCE_PREFIX "i-1", 4,
+                    {text.data(), text.size()});
+    }
+
+    const LrTargetSpec *first_target()
+    {
+        const LrGroupSpec *group =
+            &catalogue->spec.services[0].maps[0].groups[0];
+        return group->n_replicas ? &group->replicas[0] : nullptr;
+    }
+
+    LrStore *store;
+    LrFaults *faults;
+    LrCatalogue *catalogue = nullptr;
+};
+
+} // namespace
+
+TEST_F(Routing, LongestPrefixOfTheHostWins)
+{
+    build();
+    ASSERT_TRUE(catalogue);
+    EXPECT_EQ(lookup("a.example", "/x/y/z"), "deep");
+    EXPECT_EQ(lookup("a.example", "/x/y/"), "deep");
+    EXPECT_EQ(lookup("a.example", "/x/y"), "all");
+    EXPECT_EQ(lookup("A.Example:8080", "/x/yy/"), "all");
+    EXPECT_EQ(lookup("b.example", "/q/1"), "wide");
+    EXPECT_EQ(lookup("b.example", "/r"), "none");
+    EXPECT_EQ(lookup("c.example", "/"), "none");
+    EXPECT_EQ(lookup("a.example", ""), "none");
+}
+
+TEST_F(Routing, BackendsGetTheirWeightInAnyStretch)
+{
+    build();
+    LrRoute *route =
+        LrRoutes_Lookup(LrRouting_Routes(catalogue), LrStr_FromC("a.example"),
+                        LrStr_FromC("/x/y/"));
+    std::map<std::string, int> counts;
+    for (int i = 1; i <= 400; i++) {
+        LrStr entry = LrRoute_NextEntry(route);
+        counts[std::string(entry.ptr, entry.len)]++;
+        EXPECT_NEAR(counts["deep#0"], 0.75 * i, 1.01);
+    }
+}
+
+TEST_F(Routing, NoConfigurationIsNoFault)
+{
+    LrStore_Remove(store, LR_ROUTING_VALUE, 5);
+    build();
+    EXPECT_FALSE(catalogue);
+    EXPECT_EQ(LrFaults_Count(faults), 0U);
+}
+
+TEST_F(Routing, ABrokenConfigurationIsRefusedWithItsFaults)
+{
+    LrStore_Set(store, LR_ROUTING_VALUE, 5,
+                LrStr_FromC("{\"routes\": [{\"name\": 1}], \"pools\": []}"));
+    build();
+    EXPECT_FALSE(catalogue);
+    EXPECT_GE(LrFaults_Count(faults), 2U);
+}
+
+TEST_F(Routing, ATargetBornAgainIsAnotherTarget)
+{
+    add_target("100");
+    build();
+    std::string before(first_target()->name.ptr, first_target()->name.len);
+    EXPECT_TRUE(LrStr_EqualC(first_target()->instance, "i-1"));
+    add_target("200");
+    build();
+    std::string after(first_target()->name.ptr, first_target()->name.len);
+    EXPECT_NE(before, after);
+}
+
+TEST_F(Routing, AnUnreadableTargetLeavesTheOthers)
+{
+    add_target("1");
+    LrStore_Set(store, LR_INSTANCE_PREFIX "i-2", 4, LrStr_FromC("\x01{"));
+    build();
+    ASSERT_TRUE(catalogue);
+    EXPECT_TRUE(first_target());
+}
+
+TEST_F(Routing, LeavingTargetsGetNothing)
+{
+    LrStore_Set(store, LR_INSTANCE_PREFIX "i-1", 4,
+                LrStr_FromC(R"({"id": "i-1", "service": "one",
+                 "address": "10.0.0.1:80", "leaving": true})"));
+    build();
+    EXPECT_FALSE(first_target());
+}
+
+TEST_F(Routing, EntriesCarryTheLimitsOfTheirRoute)
+{
+    build();
+    const LrEntrySpec *wide = &catalogue->spec.entries[3];
+    EXPECT_TRUE(wide->strict_coverage);
+    EXPECT_DOUBLE_EQ(wide->min_coverage, 0.75);
+    EXPECT_EQ(wide->soft_deadline_ms, 60);
+    EXPECT_EQ(catalogue->spec.entries[0].max_attempts, 2);
+    EXPECT_EQ(catalogue->spec.services[0].connections, 12);
+}
