--- a/liblavenderrail/contract.h
+++ b/liblavenderrail/contract.h
@@ -56,6 +56,8 @@
     void *(*start)(const LrSourceConfig *config);
     void (*free)(void *source);
     void (*set_reading)(void *source, bool reading);
+    /* Time of the last call that succeeded; 0 for none. */
+    LrTime (*heard_at)(const void *source);
     /* Members for the state dump. */
     struct json_t *(*dump)(const void *source);
     LrCatalogue *(*build)(const LrStore *store, LrFaults *faults);
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -59,6 +59,9 @@
     int64_t next_forward;
     ev_timer probe_timer;
     LrTime heard_at;
+    /* Last time that the configuration service was read, by this daemon or
+     * by one that it has heard of; 0 for never. */
+    LrTime service_heard_at;
     LrTime asked_at;
     /* The last delta did not fit: a whole copy is asked for next. */
     bool ask_whole;
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -9,6 +9,9 @@
 /* Rows of each kind that ride on a probe. */
 enum { MAX_CONDEMNED = 4, MAX_LEAVING = 4 };
 
+/* Watches that may pass without any reading being heard of. */
+#define STALE_WAITS 2
+
 /* An unanswered request for a delta is repeated after this time. */
 #define ASK_AGAIN (2 * LR_SECOND)
 
@@ -53,6 +56,30 @@
     found->n++;
 }
 
+/* Age of the freshest reading of the configuration service that this daemon
+ * knows of. */
+static int64_t
+heard_ms(LrDaemon *daemon, LrTime now)
+{
+    LrTime own = daemon->source
+                     ? daemon->deployment->source->heard_at(daemon->source)
+                     : 0;
+    daemon->service_heard_at = MAX(daemon->service_heard_at, own);
+    return daemon->service_heard_at > 0
+               ? (now - daemon->service_heard_at) / LR_MILLISECOND
+               : -1;
+}
+
+static void
+take_heard(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
+{
+    if (message->heard_ms >= 0) {
+        daemon->service_heard_at =
+            MAX(daemon->service_heard_at,
+                now - message->heard_ms * LR_MILLISECOND);
+    }
+}
+
 static void
 send_probe(void *data, LrStr address, const LrProbeMsg *message)
 {
@@ -61,6 +88,7 @@
     LrQuarantine_Each(LrEngine_Quarantine(daemon->engine), collect_condemned,
                       &found);
     LrProbeMsg whole = *message;
+    whole.heard_ms = heard_ms(daemon, found.now);
     whole.condemned = found.rows;
     whole.n_condemned = found.n;
     LrLeavingMsg leaving[MAX_LEAVING];
@@ -131,6 +159,7 @@
     LrTime now = LrLoop_Now();
     LrMembers_OnProbe(daemon->members, message, now);
     daemon->heard_at = now;
+    take_heard(daemon, message, now);
     take_condemned(daemon, message, now);
     take_leaving(daemon, message, now);
     if (message->n_news > 0) {
@@ -311,8 +340,11 @@
     bool reader = LrMembers_ZoneRank(daemon->members) <
                   (unsigned)daemon->settings.readers_per_zone;
     bool known = LrEngine_View(daemon->engine) != NULL;
-    daemon->deployment->source->set_reading(daemon->source,
-                                            reader || alone || !known);
+    /* The readers may all be refused while others would be served. */
+    bool stale = heard_ms(daemon, now) * LR_MILLISECOND >
+                 STALE_WAITS * daemon->settings.watch_wait_ms * LR_MILLISECOND;
+    daemon->deployment->source->set_reading(
+        daemon->source, reader || alone || !known || stale);
 }
 
 static int
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1066,6 +1066,13 @@
      .hint = "leaving targets to spread",
      .count_offset = offsetof(LrProbeMsg, n_leaving),
      .object = &LrLeavingMsg_Spec},
+    {.name = "heard_ms",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrProbeMsg, heard_ms),
+     .hint = "time since the sender, or one it has heard of, read the configuration service; -1 while none has",
+     .min = -1,
+     .max = 9007199254740991,
+     .fallback = -1},
 };
 
 const LrObjectSpec LrProbeMsg_Spec = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -455,6 +455,8 @@
     /* leaving targets to spread */
     LrLeavingMsg *leaving;
     size_t n_leaving;
+    /* time since the sender, or one it has heard of, read the configuration service; -1 while none has */
+    int64_t heard_ms;
 } LrProbeMsg;
 extern const LrObjectSpec LrProbeMsg_Spec;
 #define LR_MSG_PROBE 2
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1190,6 +1190,8 @@
 void LrWatch_Free(LrWatch *watch);
 /* Whether to read the configuration service and the host list. */
 void LrWatch_SetReading(LrWatch *watch, bool reading);
+/* Last time that the configuration service answered; 0 for never. */
+LrTime LrWatch_HeardAt(const LrWatch *watch);
 /* Members for the state dump. */
 struct json_t *LrWatch_Dump(const LrWatch *watch);
 
--- a/liblavenderrail/native.c
+++ b/liblavenderrail/native.c
@@ -34,6 +34,12 @@
     LrWatch_SetReading(source, reading);
 }
 
+static LrTime
+heard_at(const void *source)
+{
+    return LrWatch_HeardAt(source);
+}
+
 static struct json_t *
 dump_watch(const void *source)
 {
@@ -45,6 +51,7 @@
     .start = start_watch,
     .free = free_watch,
     .set_reading = set_reading,
+    .heard_at = heard_at,
     .dump = dump_watch,
     .build = LrStore_Build,
 };
--- a/liblavenderrail/watch.c
+++ b/liblavenderrail/watch.c
@@ -360,6 +360,12 @@
     g_free(watch);
 }
 
+LrTime
+LrWatch_HeardAt(const LrWatch *watch)
+{
+    return watch->manifest.answered_at;
+}
+
 static int64_t
 age_ms(LrTime at)
 {
