keeper, tests: routed: keep targets that come before the configuration

The keeper now keeps values without a configuration; after a refused one the feed reads all again.

The routed contract gets a stand-in of store and searchers and 21 tests from raw callers' connections.

--- /dev/null
+++ b/cli/standin_routed.c
@@ -0,0 +1,658 @@
+/* lr-standin-routed: the users' platform on loopback: its store, the
+ * operator's writes, and searchers with faults.
+ *
+ * Control paths, all answered with 200 once they are in force:
+ *   POST /control/config           the body becomes the configuration
+ *   POST /control/server?id&service&address&zone[&state][&cold]
+ *                                  starts a searcher and registers it
+ *   POST /control/entry?id&state   rewrites a searcher's entry; without state
+ *                                  removes it
+ *   POST /control/fault?id&name&value
+ *   POST /control/store?name&value down, compact or lose
+ *   GET  /control/runs             what the searchers ran, oldest first */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <ev.h>
+#include <jansson.h>
+
+#include "callers.h"
+#include "merge.h"
+
+enum {
+    OPTION_MAX_ERRORS = 20,
+    MAX_CONNECTIONS = 4096,
+    MAX_BODY = 4 << 20,
+    RECORDS = 8,
+};
+
+typedef struct Searcher Searcher;
+
+typedef struct {
+    int work_ms;
+    int pause_ms;
+    /* Each in a hundred requests. */
+    int shed;
+    int error;
+    int lose;
+    int foreign;
+} Faults;
+
+typedef struct {
+    struct ev_loop *loop;
+    LrLoopTimers *timers;
+    LrServer *store;
+    GHashTable *items;
+    GPtrArray *events;
+    int64_t revision;
+    int64_t horizon;
+    bool down;
+    bool lose;
+    GPtrArray *waiters;
+    GHashTable *searchers;
+    json_t *runs;
+    unsigned n_requests;
+} Standin;
+
+/* Held by the table of items and by the history. */
+typedef struct {
+    int refs;
+    char *key;
+    char *value;
+    int64_t revision;
+} Item;
+
+typedef struct {
+    Standin *standin;
+    LrExchange *exchange;
+    int64_t after;
+    LrTimer timer;
+} Waiter;
+
+struct Searcher {
+    Standin *standin;
+    LrCallers *callers;
+    char *id;
+    char *service;
+    Faults faults;
+    unsigned running;
+};
+
+/* One request that a searcher works on. */
+typedef struct {
+    Searcher *searcher;
+    LrCall *call;
+    LrTimer timer;
+} Work;
+
+static void
+unref_item(gpointer data)
+{
+    Item *item = data;
+    if (--item->refs > 0) {
+        return;
+    }
+    g_free(item->key);
+    g_free(item->value);
+    g_free(item);
+}
+
+static void
+reply_json(LrExchange *exchange, unsigned status, json_t *json)
+{
+    char *text = json ? json_dumps(json, JSON_COMPACT) : strdup("");
+    json_decref(json);
+    LrExchange_Reply(
+        exchange, status, "application/json",
+        g_bytes_new_with_free_func(text, strlen(text), free, text));
+}
+
+static json_t *
+item_json(const Item *item)
+{
+    if (!item->value) {
+        return json_pack("{s:s, s:I, s:b}", "key", item->key, "revision",
+                         (json_int_t)item->revision, "deleted", 1);
+    }
+    g_autofree char *encoded =
+        g_base64_encode((const guchar *)item->value, strlen(item->value));
+    return json_pack("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value",
+                     encoded, "revision", (json_int_t)item->revision,
+                     "created", (json_int_t)item->revision, "lease_id", 0);
+}
+
+static void
+answer_waiter(Waiter *waiter)
+{
+    Standin *standin = waiter->standin;
+    json_t *list = json_array();
+    for (guint i = 0; i < standin->events->len; i++) {
+        const Item *item = standin->events->pdata[i];
+        if (item->revision > waiter->after) {
+            json_array_append_new(list, item_json(item));
+        }
+    }
+    LrLoopTimers_Clear(standin->timers, &waiter->timer);
+    g_ptr_array_remove(standin->waiters, waiter);
+    if (standin->lose) {
+        LrExchange_Drop(waiter->exchange);
+        json_decref(list);
+    }
+    else {
+        reply_json(waiter->exchange, 200,
+                   json_pack("{s:o, s:I}", "events", list, "store_revision",
+                             (json_int_t)standin->revision));
+    }
+    g_free(waiter);
+}
+
+static void
+on_wait_over(void *data, LrTime now)
+{
+    (void)now;
+    answer_waiter(data);
+}
+
+static void
+put(Standin *standin, const char *key, const char *value)
+{
+    Item *item = g_new0(Item, 1);
+    item->key = g_strdup(key);
+    item->value = g_strdup(value);
+    item->revision = ++standin->revision;
+    item->refs = 1;
+    g_ptr_array_add(standin->events, item);
+    if (value) {
+        item->refs++;
+        g_hash_table_replace(standin->items, item->key, item);
+    }
+    else {
+        g_hash_table_remove(standin->items, key);
+    }
+    while (standin->waiters->len > 0) {
+        answer_waiter(standin->waiters->pdata[0]);
+    }
+}
+
+static void
+reply_range(Standin *standin, LrExchange *exchange)
+{
+    json_t *list = json_array();
+    GHashTableIter iter;
+    gpointer item;
+    g_hash_table_iter_init(&iter, standin->items);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        json_array_append_new(list, item_json(item));
+    }
+    reply_json(exchange, 200,
+               json_pack("{s:o, s:b, s:I}", "items", list, "has_more", 0,
+                         "store_revision", (json_int_t)standin->revision));
+}
+
+static int64_t
+argument(LrExchange *exchange, const char *name)
+{
+    int64_t value = 0;
+    return LrStr_ToInt(LrExchange_Argument(exchange, name), &value) ? value
+                                                                    : 0;
+}
+
+static void
+start_watch(Standin *standin, LrExchange *exchange)
+{
+    int64_t after = argument(exchange, "after");
+    if (after < standin->horizon) {
+        reply_json(exchange, 410, NULL);
+        return;
+    }
+    Waiter *waiter = g_new0(Waiter, 1);
+    waiter->standin = standin;
+    waiter->exchange = exchange;
+    waiter->after = after;
+    waiter->timer = (LrTimer){.func = on_wait_over, .data = waiter};
+    LrExchange_SetData(exchange, waiter);
+    g_ptr_array_add(standin->waiters, waiter);
+    if (after < standin->revision) {
+        answer_waiter(waiter);
+        return;
+    }
+    LrTime wait = argument(exchange, "max_wait_ms") * LR_MILLISECOND;
+    LrLoopTimers_Set(standin->timers, &waiter->timer, LrLoop_Now() + wait);
+}
+
+static char *
+text_argument(LrExchange *exchange, const char *name)
+{
+    return LrStr_Dup(LrExchange_Argument(exchange, name));
+}
+
+/* Searchers. */
+
+static bool
+hits(Searcher *searcher, int percent)
+{
+    return (int)(++searcher->standin->n_requests * 37 % 100) < percent;
+}
+
+static void
+answer_own(LrCall *call, const char *status, const char *extra)
+{
+    GString *head = g_string_new(NULL);
+    g_string_append_printf(head, "HTTP/1.1 %s\r\n%s", status, extra);
+    LrCall_Reply(call, head, NULL, false);
+    g_string_free(head, TRUE);
+}
+
+/* Records that follow from the searcher's service and the request alone. */
+static GBytes *
+records(const Searcher *searcher, LrStr target)
+{
+    uint64_t words[2 * RECORDS];
+    uint64_t seed = LrStr_Hash(target, 1);
+    seed = LrStr_Hash(LrStr_FromC(searcher->service), seed);
+    for (size_t i = 0; i < G_N_ELEMENTS(words); i++) {
+        words[i] = LrStr_Hash(
+            (LrStr){.ptr = (const char *)&i, .len = sizeof(i)}, seed);
+    }
+    return g_bytes_new(words, sizeof(words));
+}
+
+static void
+finish_work(void *data, LrTime now)
+{
+    (void)now;
+    Work *work = data;
+    Searcher *searcher = work->searcher;
+    LrCall *call = work->call;
+    const LrMessage *message = LrCall_Message(call);
+    LrStr id = LrMessage_Header(message, "X-Request-Id");
+    bool foreign = hits(searcher, searcher->faults.foreign);
+    bool error = hits(searcher, searcher->faults.error);
+    searcher->running--;
+    LrCall_SetData(call, NULL);
+    GString *head = g_string_new(NULL);
+    g_string_append_printf(
+        head,
+        "HTTP/1.1 %s\r\nX-Request-Id: %s%.*s\r\n"
+        "X-Response-Seal: seal-%.*s-%s\r\nX-Server-Load: %u,0,3\r\n"
+        "Keep-Alive: timeout=5\r\n",
+        error ? "500 Broken" : "200 OK", foreign ? "not-" : "", (int)id.len,
+        id.ptr, (int)id.len, id.ptr, searcher->id, searcher->running);
+    LrCall_Reply(call, head, records(searcher, LrMessage_Target(message)),
+                 false);
+    g_string_free(head, TRUE);
+    g_free(work);
+}
+
+static void
+note_run(Searcher *searcher, const LrMessage *message)
+{
+    LrStr id = LrMessage_Header(message, "X-Request-Id");
+    LrStr target = LrMessage_Target(message);
+    LrStr method = LrMessage_Method(message);
+    LrStr deadline = LrMessage_Header(message, "X-Deadline-Ms");
+    json_array_append_new(
+        searcher->standin->runs,
+        json_pack("{s:s%, s:s, s:s, s:s%, s:s%, s:s%, s:I}", "id", id.ptr,
+                  id.len, "server", searcher->id, "service", searcher->service,
+                  "target", target.ptr, target.len, "method", method.ptr,
+                  method.len, "deadline", deadline.ptr, deadline.len, "at_ms",
+                  (json_int_t)(LrLoop_Now() / LR_MILLISECOND)));
+}
+
+static void
+on_request(void *data, LrCall *call)
+{
+    Searcher *searcher = data;
+    const LrMessage *message = LrCall_Message(call);
+    LrStr expected = LrMessage_Header(message, "X-Expected-Instance");
+    if (expected.len > 0 && !LrStr_EqualC(expected, searcher->id)) {
+        answer_own(call, "421 Misdirected Request", "");
+        return;
+    }
+    if (hits(searcher, searcher->faults.shed)) {
+        answer_own(call, "503 Full", "X-Not-Executed: 1\r\n");
+        return;
+    }
+    note_run(searcher, message);
+    Work *work = g_new0(Work, 1);
+    work->searcher = searcher;
+    work->call = call;
+    work->timer = (LrTimer){.func = finish_work, .data = work};
+    searcher->running++;
+    LrCall_SetData(call, work);
+    LrTime work_time = (searcher->faults.work_ms + searcher->faults.pause_ms) *
+                       LR_MILLISECOND;
+    if (hits(searcher, searcher->faults.lose)) {
+        work_time = 3600 * LR_SECOND;
+    }
+    LrLoopTimers_Set(searcher->standin->timers, &work->timer,
+                     LrLoop_Now() + work_time);
+}
+
+static void
+on_gone(void *data, LrCall *call)
+{
+    Searcher *searcher = data;
+    Work *work = LrCall_Data(call);
+    if (work) {
+        searcher->running--;
+        LrLoopTimers_Clear(searcher->standin->timers, &work->timer);
+        g_free(work);
+    }
+}
+
+static void
+on_refuse(void *data, unsigned status, GString *head)
+{
+    (void)data;
+    g_string_append_printf(head, "HTTP/1.1 %u Refused\r\n", status);
+}
+
+static void
+free_searcher(gpointer data)
+{
+    Searcher *searcher = data;
+    LrCallers_Free(searcher->callers);
+    g_free(searcher->id);
+    g_free(searcher->service);
+    g_free(searcher);
+}
+
+static void
+start_searcher(Standin *standin, LrExchange *exchange)
+{
+    g_autofree char *id = text_argument(exchange, "id");
+    g_autofree char *service = text_argument(exchange, "service");
+    g_autofree char *zone = text_argument(exchange, "zone");
+    g_autofree char *address = text_argument(exchange, "address");
+    Searcher *searcher = g_new0(Searcher, 1);
+    searcher->standin = standin;
+    searcher->id = g_strdup(id);
+    searcher->service = g_strdup(service);
+    searcher->faults.work_ms = 3;
+    LrCallersConfig config = {
+        .loop = standin->loop,
+        .timers = standin->timers,
+        .address = LrStr_FromC(address),
+        .max_connections = MAX_CONNECTIONS,
+        .handler = {.request = on_request,
+                    .gone = on_gone,
+                    .refuse = on_refuse,
+                    .data = searcher},
+    };
+    GError *error = NULL;
+    searcher->callers = LrCallers_New(&config, &error);
+    if (!searcher->callers) {
+        reply_json(exchange, 400, json_pack("{s:s}", "error", error->message));
+        g_error_free(error);
+        free_searcher(searcher);
+        return;
+    }
+    LrCallerLimits limits = {
+        .max_head_bytes = MAX_BODY,
+        .max_body_bytes = MAX_BODY,
+        .receive_timeout = 10 * LR_SECOND,
+        .idle_timeout = 6 * LR_SECOND,
+    };
+    LrCallers_SetLimits(searcher->callers, &limits);
+    g_hash_table_replace(standin->searchers, searcher->id, searcher);
+    g_autofree char *key = g_strconcat("servers/", id, NULL);
+    g_autofree char *value = g_strdup_printf(
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+        "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
+        "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%" G_GINT64_FORMAT
+        "}",
+        service, address, zone, LrLoop_WallMs());
+    put(standin, key, value);
+    reply_json(exchange, 200, NULL);
+}
+
+static void
+rewrite_entry(Standin *standin, LrExchange *exchange)
+{
+    g_autofree char *id = text_argument(exchange, "id");
+    g_autofree char *state = text_argument(exchange, "state");
+    g_autofree char *key = g_strconcat("servers/", id, NULL);
+    const Item *item = g_hash_table_lookup(standin->items, key);
+    if (state[0] == '\0') {
+        put(standin, key, NULL);
+    }
+    else if (item) {
+        json_t *entry = json_loads(item->value, 0, NULL);
+        json_object_set_new(entry, "state", json_string(state));
+        char *text = json_dumps(entry, JSON_COMPACT);
+        put(standin, key, text);
+        free(text);
+        json_decref(entry);
+    }
+    reply_json(exchange, 200, NULL);
+}
+
+static bool
+set_fault(Faults *faults, const char *name, int value)
+{
+    const struct {
+        const char *name;
+        int *at;
+    } known[] = {
+        {"work_ms", &faults->work_ms}, {"pause_ms", &faults->pause_ms},
+        {"shed", &faults->shed},       {"error", &faults->error},
+        {"lose", &faults->lose},       {"foreign", &faults->foreign},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(known); i++) {
+        if (!strcmp(known[i].name, name)) {
+            *known[i].at = value;
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+change_searcher(Standin *standin, LrExchange *exchange)
+{
+    g_autofree char *id = text_argument(exchange, "id");
+    g_autofree char *name = text_argument(exchange, "name");
+    Searcher *searcher = g_hash_table_lookup(standin->searchers, id);
+    int value = (int)argument(exchange, "value");
+    bool known = searcher != NULL;
+    if (known && !strcmp(name, "stop")) {
+        g_hash_table_remove(standin->searchers, id);
+    }
+    else if (known) {
+        known = set_fault(&searcher->faults, name, value);
+    }
+    reply_json(exchange, known ? 200 : 404, NULL);
+}
+
+static void
+change_store(Standin *standin, LrExchange *exchange)
+{
+    g_autofree char *name = text_argument(exchange, "name");
+    bool value = argument(exchange, "value") != 0;
+    if (!strcmp(name, "down")) {
+        standin->down = value;
+    }
+    else if (!strcmp(name, "lose")) {
+        standin->lose = value;
+    }
+    else if (!strcmp(name, "compact")) {
+        standin->horizon = standin->revision;
+        g_ptr_array_set_size(standin->events, 0);
+    }
+    else {
+        reply_json(exchange, 404, NULL);
+        return;
+    }
+    reply_json(exchange, 200, NULL);
+}
+
+static void
+put_config(Standin *standin, LrExchange *exchange)
+{
+    g_autofree char *text =
+        LrStr_Dup(LrStr_FromBytes(LrExchange_Body(exchange)));
+    put(standin, "op/config", text);
+    reply_json(exchange, 200, NULL);
+}
+
+static void
+control(Standin *standin, LrExchange *exchange, LrStr path)
+{
+    const struct {
+        const char *path;
+        void (*func)(Standin *, LrExchange *);
+    } calls[] = {
+        {"/control/config", put_config},   {"/control/server", start_searcher},
+        {"/control/entry", rewrite_entry}, {"/control/fault", change_searcher},
+        {"/control/store", change_store},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+        if (LrStr_EqualC(path, calls[i].path)) {
+            calls[i].func(standin, exchange);
+            return;
+        }
+    }
+    reply_json(exchange, 404, NULL);
+}
+
+static void
+on_store_request(void *data, LrExchange *exchange)
+{
+    Standin *standin = data;
+    LrStr path = LrExchange_Path(exchange);
+    if (LrStr_EqualC(path, "/control/runs")) {
+        reply_json(exchange, 200, json_pack("{s:O}", "runs", standin->runs));
+    }
+    else if (LrStr_HasPrefix(path, "/control/")) {
+        control(standin, exchange, path);
+    }
+    else if (standin->down) {
+        reply_json(exchange, 503, NULL);
+    }
+    else if (LrStr_EqualC(path, "/lavenderrail/kv-range")) {
+        reply_range(standin, exchange);
+    }
+    else if (LrStr_EqualC(path, "/lavenderrail/kv-watch")) {
+        start_watch(standin, exchange);
+    }
+    else {
+        reply_json(exchange, 404, NULL);
+    }
+}
+
+static void
+on_store_gone(void *data, LrExchange *exchange)
+{
+    Standin *standin = data;
+    Waiter *waiter = LrExchange_Data(exchange);
+    if (waiter) {
+        LrLoopTimers_Clear(standin->timers, &waiter->timer);
+        g_ptr_array_remove(standin->waiters, waiter);
+        g_free(waiter);
+    }
+}
+
+static void
+on_end(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)watcher;
+    (void)events;
+    ev_break(loop, EVBREAK_ALL);
+}
+
+static void
+on_time_over(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)timer;
+    (void)events;
+    ev_break(loop, EVBREAK_ALL);
+}
+
+static void
+free_standin(Standin *standin)
+{
+    LrServer_Free(standin->store);
+    g_hash_table_unref(standin->searchers);
+    g_hash_table_unref(standin->items);
+    g_ptr_array_unref(standin->events);
+    g_ptr_array_unref(standin->waiters);
+    json_decref(standin->runs);
+    LrLoopTimers_Free(standin->timers);
+}
+
+static int
+run(const char *address, int seconds)
+{
+    Standin standin = {.loop = ev_default_loop(EVFLAG_AUTO)};
+    standin.timers = LrLoopTimers_New(standin.loop);
+    standin.items =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_item);
+    standin.events = g_ptr_array_new_with_free_func(unref_item);
+    standin.waiters = g_ptr_array_new();
+    standin.searchers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_searcher);
+    standin.runs = json_array();
+    standin.revision = 1;
+    LrServerConfig config = {
+        .loop = standin.loop,
+        .address = LrStr_FromC(address),
+        .max_body = MAX_BODY,
+        .max_connections = MAX_CONNECTIONS,
+        .idle_timeout_s = 60,
+        .handler = {.request = on_store_request,
+                    .gone = on_store_gone,
+                    .data = &standin},
+    };
+    GError *error = NULL;
+    standin.store = LrServer_New(&config, &error);
+    if (!standin.store) {
+        fprintf(stderr, "lr-standin-routed: %s\n", error->message);
+        g_error_free(error);
+        return EXIT_FAILURE;
+    }
+    ev_signal term;
+    ev_timer limit;
+    signal(SIGPIPE, SIG_IGN);
+    ev_signal_init(&term, on_end, SIGTERM);
+    ev_signal_start(standin.loop, &term);
+    ev_timer_init(&limit, on_time_over, seconds, 0);
+    ev_timer_start(standin.loop, &limit);
+    printf("lr-standin-routed: store at http://%s\n", address);
+    fflush(stdout);
+    ev_run(standin.loop, 0);
+    free_standin(&standin);
+    return EXIT_SUCCESS;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_lit *help = arg_lit0("h", "help", "show this help and exit");
+    struct arg_str *store =
+        arg_str1(NULL, "store", "IP:PORT", "address of the store");
+    struct arg_int *seconds =
+        arg_int0(NULL, "seconds", "N", "longest run (3600)");
+    struct arg_end *end = arg_end(OPTION_MAX_ERRORS);
+    void *table[] = {help, store, seconds, end};
+    int status = 2;
+    seconds->ival[0] = 3600;
+    int n_errors = arg_parse(argc, argv, table);
+    if (help->count > 0) {
+        printf("Usage: lr-standin-routed");
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-28s %s\n");
+        status = EXIT_SUCCESS;
+    }
+    else if (n_errors > 0) {
+        arg_print_errors(stderr, end, "lr-standin-routed");
+    }
+    else {
+        status = run(store->sval[0], seconds->ival[0]);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
--- a/liblavenderrail/callers.h
+++ b/liblavenderrail/callers.h
@@ -7,6 +7,10 @@
 #include "http1.h"
 #include "loop_timers.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 typedef struct LrCallers LrCallers;
 typedef struct LrCall LrCall;
 
@@ -60,4 +64,8 @@
  * body of known length. Takes over the body. The call is no longer valid. */
 void LrCall_Reply(LrCall *call, const GString *head, GBytes *body, bool close);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/liblavenderrail/feed.c
+++ b/liblavenderrail/feed.c
@@ -191,6 +191,13 @@
     feed->due = now;
 }
 
+void
+LrFeed_OnRefused(LrFeed *feed, LrTime now)
+{
+    start_list(feed);
+    feed->due = now + RETRY_MAX;
+}
+
 void
 LrFeed_OnFailure(LrFeed *feed, LrTime now, const char *why)
 {
--- a/liblavenderrail/keeper.c
+++ b/liblavenderrail/keeper.c
@@ -45,11 +45,17 @@
 }
 
 static void
-accept(LrKeeper *keeper, LrStore *store, LrCatalogue *catalogue,
-       const char *source)
+keep(LrKeeper *keeper, LrStore *store)
 {
     LrStore_Free(keeper->store);
     keeper->store = store;
+}
+
+static void
+accept(LrKeeper *keeper, LrStore *store, LrCatalogue *catalogue,
+       const char *source)
+{
+    keep(keeper, store);
     keeper->accepted_at = LrLoop_Now();
     LrCounters_Add(keeper->config.counters, LR_COUNT_CATALOGUE_ACCEPTED, 1);
     LR_LOG(keeper->config.log, LOG_NOTICE, "catalogue_accepted",
@@ -64,15 +70,19 @@
     int64_t revision = LrStore_Revision(store);
     LrFaults *faults = LrFaults_New();
     LrCatalogue *catalogue = keeper->config.build(store, faults);
-    bool taken = catalogue && revision >= least;
-    if (!catalogue && LrFaults_Count(faults) > 0) {
+    bool valid = LrFaults_Count(faults) == 0;
+    bool taken = valid && revision >= least;
+    if (!valid) {
         refuse(keeper, revision, faults, source);
     }
-    if (taken) {
+    if (!taken) {
+        LrStore_Free(store);
+    }
+    else if (catalogue) {
         accept(keeper, store, catalogue, source);
     }
     else {
-        LrStore_Free(store);
+        keep(keeper, store);
     }
     LrCatalogue_Unref(catalogue);
     LrFaults_Free(faults);
--- a/liblavenderrail/keeper.h
+++ b/liblavenderrail/keeper.h
@@ -7,13 +7,18 @@
 
 #include "lavenderrail.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 typedef struct LrKeeper LrKeeper;
 
 typedef struct {
     LrLog *log;
     LrCounters *counters;
     /* Builds a catalogue; NULL with the faults when the values are invalid,
-     * NULL without any when they hold no configuration yet. */
+     * NULL without any when they hold no configuration yet: they are kept
+     * until one comes. */
     LrCatalogue *(*build)(const LrStore *store, LrFaults *faults);
     /* A catalogue was accepted; the receiver takes a reference. */
     void (*catalogue)(void *data, LrCatalogue *catalogue);
@@ -34,4 +39,8 @@
 /* Members for the state dump. */
 struct json_t *LrKeeper_Dump(const LrKeeper *keeper);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/liblavenderrail/loop_timers.h
+++ b/liblavenderrail/loop_timers.h
@@ -4,6 +4,10 @@
 
 #include "lavenderrail.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 typedef struct LrLoopTimers LrLoopTimers;
 
 LrLoopTimers *LrLoopTimers_New(struct ev_loop *loop);
@@ -12,4 +16,8 @@
 void LrLoopTimers_Set(LrLoopTimers *timers, LrTimer *timer, LrTime due);
 void LrLoopTimers_Clear(LrLoopTimers *timers, LrTimer *timer);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/liblavenderrail/upstream.h
+++ b/liblavenderrail/upstream.h
@@ -6,6 +6,10 @@
 #include "http1.h"
 #include "loop_timers.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 typedef struct LrUpstream LrUpstream;
 typedef struct LrUpstreamCall LrUpstreamCall;
 
@@ -59,4 +63,8 @@
 void LrUpstreamCall_Shorten(LrUpstreamCall *call, LrTime deadline);
 size_t LrUpstream_Open(const LrUpstream *upstream);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- /dev/null
+++ b/tests/routed.h
@@ -0,0 +1,318 @@
+// The routed contract with real processes on loopback: daemons, and a
+// stand-in of the store and the searchers.
+#ifndef LAVENDERRAIL_TESTS_ROUTED_H
+#define LAVENDERRAIL_TESTS_ROUTED_H
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "fleet.h"
+
+// An answer with its headers.
+struct RoutedAnswer {
+    long status = 0;
+    std::string body;
+    std::string head;
+
+    std::string
+    header(const std::string &name) const
+    {
+        size_t at = head.find("\r\n" + name + ": ");
+        if (at == std::string::npos) {
+            return "";
+        }
+        at += name.size() + 4;
+        return head.substr(at, head.find("\r\n", at) - at);
+    }
+};
+
+// One connection of a caller; what is sent and read is raw.
+class RawCaller {
+  public:
+    explicit RawCaller(int port)
+    {
+        fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to = {};
+        to.sin_family = AF_INET;
+        to.sin_port = htons((uint16_t)port);
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        timeval limit = {.tv_sec = 10, .tv_usec = 0};
+        setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        connected = connect(fd, (sockaddr *)&to, sizeof(to)) == 0;
+    }
+    ~RawCaller()
+    {
+        close_now();
+    }
+    void
+    close_now()
+    {
+        if (fd >= 0) {
+            close(fd);
+            fd = -1;
+        }
+    }
+    void
+    send(const std::string &text) const
+    {
+        ::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+    // Status 0 when the connection ended before a whole answer.
+    RoutedAnswer
+    read()
+    {
+        RoutedAnswer answer;
+        size_t end;
+        while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
+            if (!fill()) {
+                return answer;
+            }
+        }
+        answer.head = buffer.substr(0, end + 2);
+        std::string length = answer.header("Content-Length");
+        size_t want = length.empty() ? 0 : std::stoul(length);
+        while (buffer.size() < end + 4 + want) {
+            if (!fill()) {
+                return answer;
+            }
+        }
+        answer.status = std::stol(answer.head.substr(9, 3));
+        answer.body = buffer.substr(end + 4, want);
+        buffer.erase(0, end + 4 + want);
+        return answer;
+    }
+    bool
+    is_closed()
+    {
+        return buffer.empty() && !fill();
+    }
+
+    bool connected = false;
+
+  private:
+    bool
+    fill()
+    {
+        char chunk[4096];
+        ssize_t got = recv(fd, chunk, sizeof(chunk), 0);
+        if (got <= 0) {
+            return false;
+        }
+        buffer.append(chunk, (size_t)got);
+        return true;
+    }
+
+    int fd;
+    std::string buffer;
+};
+
+class RoutedFleet {
+  public:
+    RoutedFleet(int first_port, int n_daemons) : base(first_port)
+    {
+        standin = std::make_unique<Process>(
+            std::vector<std::string>{LR_BIN "/lr-standin-routed", "--store",
+                                     address(0), "--seconds", "120"});
+        EXPECT_TRUE(eventually(
+            [&] { return http(store("/control/runs")).status == 200; }));
+        daemons.resize((size_t)n_daemons + 1);
+        for (int i = 1; i <= n_daemons; i++) {
+            start(i);
+        }
+    }
+    std::string
+    address(int port) const
+    {
+        return "127.0.0.1:" + std::to_string(base + port);
+    }
+    std::string
+    store(const std::string &path) const
+    {
+        return "http://" + address(0) + path;
+    }
+    int
+    port(int i) const
+    {
+        return base + 10 * i + 1;
+    }
+    void
+    start(int i, std::string config_url = "")
+    {
+        if (config_url.empty()) {
+            config_url = "http://" + address(0);
+        }
+        std::vector<std::string> arguments = {LR_BIN "/lavenderraild",
+                                              "--contract",
+                                              "platform",
+                                              "--name",
+                                              "h" + std::to_string(i),
+                                              "--zone",
+                                              "z" + std::to_string(i % 3),
+                                              "--listen",
+                                              address(10 * i + 1),
+                                              "--operator-listen",
+                                              address(10 * i + 2),
+                                              "--peer-listen",
+                                              address(10 * i + 3),
+                                              "--seeds",
+                                              address(13) + "," + address(23),
+                                              "--config-url",
+                                              config_url,
+                                              "--probe-ms",
+                                              "100",
+                                              "--watch-wait-ms",
+                                              "1000",
+                                              "--watch-retry-ms",
+                                              "100",
+                                              "--drain-wait-ms",
+                                              "600",
+                                              "--stop-limit-ms",
+                                              "4000",
+                                              "--budget-ratio",
+                                              "0.2",
+                                              "--budget-extra",
+                                              "200",
+                                              "--hedge-medians",
+                                              "3",
+                                              "--linger-ms",
+                                              "300",
+                                              "--connect-timeout-ms",
+                                              "200",
+                                              "--absence-hold-ms",
+                                              "1500",
+                                              "--log-level",
+                                              std::getenv("LR_TEST_LOG") ? "6"
+                                                                         : "3",
+                                              "--seed",
+                                              std::to_string(i)};
+        daemons[(size_t)i] = std::make_unique<Process>(arguments);
+    }
+    bool
+    ready(int i) const
+    {
+        return http("http://" + address(10 * i + 2) + "/readyz", nullptr, {},
+                    1000)
+                   .status == 200;
+    }
+    void
+    control(const std::string &call, const std::string &body = "") const
+    {
+        EXPECT_EQ(http(store("/control/" + call), body.c_str()).status, 200)
+            << call;
+    }
+    // A searcher at port base + 100 + port.
+    void
+    server(const std::string &id, const std::string &service, int port) const
+    {
+        control("server?id=" + id + "&service=" + service +
+                "&zone=z0&address=" + address(100 + port));
+    }
+    void
+    fault(const std::string &id, const std::string &name, int value) const
+    {
+        control("fault?id=" + id + "&name=" + name +
+                "&value=" + std::to_string(value));
+    }
+    // Two shards of two searchers each, and a service of two.
+    void
+    setup(const std::string &more_routes = "") const
+    {
+        server("a1", "a", 1);
+        server("a2", "a", 2);
+        server("b1", "b", 3);
+        server("b2", "b", 4);
+        server("c1", "c", 5);
+        server("c2", "c", 6);
+        config(1, more_routes);
+    }
+    void
+    config(int version, const std::string &more_routes = "") const
+    {
+        control("config",
+                "{\"version\":" + std::to_string(version) +
+                    ",\"routes\":["
+                    "{\"name\":\"wide\",\"host\":\"q.example\","
+                    "\"prefix\":\"/w/\",\"type\":\"idempotent\","
+                    "\"timeout_ms\":1500,\"target_latency_ms\":400,"
+                    "\"priority\":1,\"gather\":[\"a\",\"b\"],"
+                    "\"max_attempts\":2,\"top_k\":5,"
+                    "\"min_shard_share\":0.5},"
+                    "{\"name\":\"strict\",\"host\":\"q.example\","
+                    "\"prefix\":\"/s/\",\"type\":\"idempotent\","
+                    "\"timeout_ms\":1500,\"target_latency_ms\":400,"
+                    "\"priority\":1,\"gather\":[\"a\",\"b\"],"
+                    "\"max_attempts\":2,\"top_k\":5,"
+                    "\"min_shard_share\":1.0},"
+                    "{\"name\":\"one\",\"host\":\"q.example\","
+                    "\"prefix\":\"/c/\",\"type\":\"idempotent\","
+                    "\"timeout_ms\":1500,\"service\":\"c\","
+                    "\"max_attempts\":2},"
+                    "{\"name\":\"order\",\"host\":\"q.example\","
+                    "\"prefix\":\"/o/\",\"type\":\"non_idempotent\","
+                    "\"timeout_ms\":1500,\"service\":\"c\","
+                    "\"max_attempts\":2}" +
+                    more_routes +
+                    "],\"services\":[{\"name\":\"a\",\"max_connections\":30},"
+                    "{\"name\":\"b\",\"max_connections\":30},"
+                    "{\"name\":\"c\",\"max_connections\":30}],"
+                    "\"limits\":{\"max_header_bytes\":2048,"
+                    "\"max_body_bytes\":4096,\"header_timeout_ms\":700,"
+                    "\"idle_timeout_ms\":1500}}");
+    }
+    static std::string
+    request(const std::string &path, const std::string &id,
+            const std::string &method = "GET", const std::string &body = "",
+            int deadline_ms = 2000)
+    {
+        std::string text =
+            method + " " + path +
+            " HTTP/1.1\r\nHost: q.example\r\nX-Request-Id: " + id +
+            "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms);
+        if (!body.empty()) {
+            text += "\r\nContent-Length: " + std::to_string(body.size());
+        }
+        return text + "\r\n\r\n" + body;
+    }
+    RoutedAnswer
+    ask(int i, const std::string &path, const std::string &id,
+        const std::string &method = "GET", const std::string &body = "") const
+    {
+        RawCaller caller(port(i));
+        caller.send(request(path, id, method, body));
+        return caller.read();
+    }
+    // Whether daemon i serves the whole answer.
+    bool
+    serves(int i) const
+    {
+        return ask(i, "/w/ready", "probe").header("X-Missing-Parts") == "0" &&
+               ask(i, "/c/ready", "probe").status == 200;
+    }
+    // Runs that the searchers saw of a request id.
+    std::vector<std::string>
+    runs(const std::string &id) const
+    {
+        HttpAnswer answer = http(store("/control/runs"));
+        json_t *json =
+            json_loadb(answer.body.data(), answer.body.size(), 0, nullptr);
+        std::vector<std::string> servers;
+        size_t i;
+        json_t *run;
+        json_array_foreach(json_object_get(json, "runs"), i, run)
+        {
+            if (id == json_string_value(json_object_get(run, "id"))) {
+                servers.push_back(
+                    json_string_value(json_object_get(run, "server")));
+            }
+        }
+        json_decref(json);
+        return servers;
+    }
+
+    int base;
+    std::unique_ptr<Process> standin;
+    std::vector<std::unique_ptr<Process>> daemons;
+};
+
+#endif
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -10,7 +10,8 @@
 
 class Feed : public ::testing::Test {
   protected:
-    void SetUp() override
+    void
+    SetUp() override
     {
         random = LrRandom_New(1);
         LrFeedConfig config = {
@@ -22,34 +23,38 @@
         base = LrStore_New();
     }
 
-    void TearDown() override
+    void
+    TearDown() override
     {
         LrFeed_Free(feed);
         LrStore_Free(base);
         LrRandom_Free(random);
     }
 
-    static LrFeedItem item(const char *name, int64_t revision,
-                           const char *text)
+    static LrFeedItem
+    item(const char *name, int64_t revision, const char *text)
     {
         return {LrStr_FromC(name), revision, LrStr_FromC(text)};
     }
 
-    void page(const std::vector<LrFeedItem> &items, int64_t revision,
-              bool more = false, const char *last = "")
+    void
+    page(const std::vector<LrFeedItem> &items, int64_t revision,
+         bool more = false, const char *last = "")
     {
         LrFeed_OnPage(feed, now, items.data(), items.size(), last, more,
                       revision);
         take();
     }
 
-    void events(const std::vector<LrFeedItem> &items, int64_t revision)
+    void
+    events(const std::vector<LrFeedItem> &items, int64_t revision)
     {
         LrFeed_OnEvents(feed, now, items.data(), items.size(), revision);
         take();
     }
 
-    void take()
+    void
+    take()
     {
         LrStore *store = LrFeed_TakeStore(feed, base, now);
         if (store) {
@@ -58,18 +63,21 @@
         }
     }
 
-    void pass(LrTime time)
+    void
+    pass(LrTime time)
     {
         now += time;
         take();
     }
 
-    LrFeedCall next()
+    LrFeedCall
+    next()
     {
         return LrFeed_NextCall(feed, base, now);
     }
 
-    std::string text(const char *name) const
+    std::string
+    text(const char *name) const
     {
         LrStr found = LrStore_Get(base, name);
         return std::string(found.ptr, found.len);
@@ -189,3 +197,11 @@
     LrFeed_SetReading(feed, true, now);
     EXPECT_EQ(next().kind, LR_FEED_LIST);
 }
+
+TEST_F(Feed, ReadsAllAgainWhenItsStoreWasRefused)
+{
+    page({item("a", 3, "1")}, 10);
+    LrFeed_OnRefused(feed, now);
+    EXPECT_EQ(next().kind, LR_FEED_LIST);
+    EXPECT_GT(next().due, now) << "a refused configuration is not read on";
+}
--- /dev/null
+++ b/tests/test_routed.cc
@@ -0,0 +1,299 @@
+// The routed contract from a caller's connection to the searchers and back.
+#include "routed.h"
+
+#include <algorithm>
+
+class RoutedTest : public testing::Test {
+  protected:
+    static constexpr int BASE = 28100;
+
+    void
+    SetUp() override
+    {
+        fleet = std::make_unique<RoutedFleet>(BASE, 2);
+        fleet->setup();
+        ASSERT_TRUE(eventually([&] { return fleet->serves(1); }));
+        ASSERT_TRUE(eventually([&] { return fleet->serves(2); }));
+    }
+
+    std::unique_ptr<RoutedFleet> fleet;
+};
+
+TEST_F(RoutedTest, MergesTheGreatestRecordsOfAllShards)
+{
+    RoutedAnswer answer = fleet->ask(1, "/w/x?y=%20", "id-1");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.header("X-Missing-Parts"), "0");
+    EXPECT_EQ(answer.body.size(), 80U);
+    for (size_t at = 16; at < answer.body.size(); at += 16) {
+        EXPECT_GE(answer.body.substr(at - 16, 16), answer.body.substr(at, 16));
+    }
+    std::string seals = answer.header("X-Part-Seals");
+    EXPECT_NE(seals.find("seal-id-1-a"), std::string::npos) << seals;
+    EXPECT_NE(seals.find("seal-id-1-b"), std::string::npos) << seals;
+    EXPECT_EQ(fleet->ask(2, "/w/x?y=%20", "id-2").body, answer.body)
+        << "both daemons give the same records";
+}
+
+TEST_F(RoutedTest, PassesOneAnswerThroughUnchanged)
+{
+    RoutedAnswer answer =
+        fleet->ask(1, "/c/a%2F/../b?q", "id-3", "POST", "some body");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.header("X-Request-Id"), "id-3");
+    EXPECT_EQ(answer.header("X-Response-Seal").substr(0, 10), "seal-id-3-");
+    EXPECT_EQ(answer.body.size(), 128U);
+    EXPECT_EQ(fleet->runs("id-3").size(), 1U);
+}
+
+TEST_F(RoutedTest, UnknownRoutesAre404AndBadRequestsAre400)
+{
+    EXPECT_EQ(fleet->ask(1, "/nowhere/", "id-4").status, 404);
+    RawCaller no_id(fleet->port(1));
+    no_id.send("GET /c/x HTTP/1.1\r\nHost: q.example\r\n\r\n");
+    EXPECT_EQ(no_id.read().status, 400);
+    RawCaller two_lengths(fleet->port(1));
+    two_lengths.send("POST /c/x HTTP/1.1\r\nHost: q.example\r\n"
+                     "X-Request-Id: id-5\r\nContent-Length: 3\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    EXPECT_EQ(two_lengths.read().status, 400);
+    EXPECT_TRUE(two_lengths.is_closed());
+    EXPECT_TRUE(fleet->runs("id-5").empty());
+}
+
+TEST_F(RoutedTest, LimitsOfTheConfigurationHold)
+{
+    std::string large(5000, 'x');
+    EXPECT_EQ(fleet->ask(1, "/c/x", "id-6", "POST", large).status, 413);
+    EXPECT_EQ(fleet->ask(1, "/c/" + large, "id-7").status, 431);
+    RawCaller slow(fleet->port(1));
+    slow.send("GET /c/x HTTP/1.1\r\nHost:");
+    EXPECT_EQ(slow.read().status, 408);
+    RawCaller idle(fleet->port(1));
+    EXPECT_TRUE(idle.is_closed()) << "closed after the idle time";
+}
+
+TEST_F(RoutedTest, RequestsThatAreSentAheadAreAnsweredInOrder)
+{
+    RawCaller caller(fleet->port(1));
+    caller.send(RoutedFleet::request("/c/1", "ahead-1") +
+                RoutedFleet::request("/w/2", "ahead-2") +
+                RoutedFleet::request("/c/3", "ahead-3"));
+    EXPECT_EQ(caller.read().header("X-Request-Id"), "ahead-1");
+    EXPECT_EQ(caller.read().header("X-Missing-Parts"), "0");
+    EXPECT_EQ(caller.read().header("X-Request-Id"), "ahead-3");
+}
+
+TEST_F(RoutedTest, ARefusalByTheTargetMovesToAnother)
+{
+    fleet->fault("c1", "shed", 100);
+    for (int i = 0; i < 10; i++) {
+        std::string id = "shed-" + std::to_string(i);
+        EXPECT_EQ(fleet->ask(1, "/o/x", id, "POST", "b").status, 200);
+        EXPECT_EQ(fleet->runs(id), std::vector<std::string>{"c2"});
+    }
+}
+
+TEST_F(RoutedTest, NotRunIsSaidOnlyWhereNothingRan)
+{
+    fleet->fault("c1", "shed", 100);
+    fleet->fault("c2", "shed", 100);
+    RoutedAnswer refused = fleet->ask(1, "/o/x", "none", "POST", "b");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_FALSE(refused.header("Retry-After").empty());
+    EXPECT_TRUE(fleet->runs("none").empty());
+}
+
+TEST_F(RoutedTest, ALostAnswerOfAnUnsafeRequestPromisesNothing)
+{
+    fleet->fault("c1", "lose", 100);
+    fleet->fault("c2", "lose", 100);
+    RoutedAnswer lost = fleet->ask(1, "/o/x", "lost", "POST", "b");
+    EXPECT_EQ(lost.status, 504);
+    EXPECT_EQ(fleet->runs("lost").size(), 1U) << "at most once";
+}
+
+TEST_F(RoutedTest, AForeignAnswerIsNobodysAnswer)
+{
+    fleet->fault("c1", "foreign", 100);
+    fleet->fault("c2", "foreign", 100);
+    RoutedAnswer answer = fleet->ask(1, "/c/x", "mine");
+    EXPECT_GE(answer.status, 500);
+    EXPECT_EQ(answer.header("X-Response-Seal"), "");
+}
+
+TEST_F(RoutedTest, ATargetsFailureKeepsItsStatusAndSeal)
+{
+    fleet->fault("c1", "error", 100);
+    fleet->fault("c2", "error", 100);
+    RoutedAnswer answer = fleet->ask(1, "/c/x", "broken");
+    EXPECT_EQ(answer.status, 500);
+    EXPECT_EQ(answer.header("X-Response-Seal").substr(0, 12), "seal-broken-");
+}
+
+TEST_F(RoutedTest, AMissingShardIsLeftOutOnlyWhereTheRouteAllowsIt)
+{
+    fleet->fault("b1", "error", 100);
+    fleet->fault("b2", "error", 100);
+    RoutedAnswer wide = fleet->ask(1, "/w/x", "part");
+    EXPECT_EQ(wide.status, 200);
+    EXPECT_EQ(wide.header("X-Missing-Parts"), "1");
+    EXPECT_EQ(wide.header("X-Part-Seals").find("seal-part-b"),
+              std::string::npos);
+    EXPECT_EQ(fleet->ask(1, "/s/x", "whole").status, 502);
+}
+
+TEST_F(RoutedTest, AShardWithoutTargetsIsRefusedAtOnce)
+{
+    fleet->control("entry?id=b1");
+    fleet->control("entry?id=b2");
+    EXPECT_TRUE(eventually([&] {
+        static int n = 0;
+        std::string id = "gone-" + std::to_string(n++);
+        return fleet->ask(1, "/s/x", id).status == 503 &&
+               fleet->runs(id).empty();
+    }));
+}
+
+TEST_F(RoutedTest, AHedgeOvertakesAPausedTarget)
+{
+    for (int i = 0; i < 60; i++) {
+        fleet->ask(1, "/w/warm", "warm-" + std::to_string(i));
+    }
+    fleet->fault("a1", "pause_ms", 700);
+    int n_in_time = 0;
+    for (int i = 0; i < 10; i++) {
+        auto start = std::chrono::steady_clock::now();
+        RoutedAnswer answer =
+            fleet->ask(1, "/w/x", "paused-" + std::to_string(i));
+        auto taken = std::chrono::steady_clock::now() - start;
+        n_in_time += answer.header("X-Missing-Parts") == "0" &&
+                     taken < std::chrono::milliseconds(700);
+    }
+    EXPECT_EQ(n_in_time, 10);
+}
+
+TEST_F(RoutedTest, ADrainingTargetGetsNothing)
+{
+    fleet->control("entry?id=c1&state=draining");
+    ASSERT_TRUE(eventually([&] {
+        static int n = 0;
+        std::string id = "drain-" + std::to_string(n++);
+        fleet->ask(1, "/c/x", id);
+        return fleet->runs(id) == std::vector<std::string>{"c2"};
+    }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    for (int i = 0; i < 10; i++) {
+        std::string id = "drained-" + std::to_string(i);
+        EXPECT_EQ(fleet->ask(1, "/c/x", id).status, 200);
+        EXPECT_EQ(fleet->runs(id), std::vector<std::string>{"c2"});
+    }
+}
+
+TEST_F(RoutedTest, AnAddressWithAnotherTargetIsNotServed)
+{
+    // The entry of c1 stays, but another searcher has its address.
+    fleet->fault("c1", "stop", 1);
+    fleet->server("x9", "d", 5);
+    for (int i = 0; i < 10; i++) {
+        std::string id = "reuse-" + std::to_string(i);
+        EXPECT_EQ(fleet->ask(1, "/c/x", id).status, 200);
+        EXPECT_EQ(fleet->runs(id), std::vector<std::string>{"c2"});
+    }
+}
+
+TEST_F(RoutedTest, AConfigurationIsInForceEverywhereAndAnOldOneIsGone)
+{
+    fleet->config(2, ",{\"name\":\"new\",\"host\":\"n.example\",\"prefix\":"
+                     "\"/\",\"type\":\"idempotent\",\"timeout_ms\":500,"
+                     "\"service\":\"c\",\"max_attempts\":1}");
+    for (int i = 1; i <= 2; i++) {
+        EXPECT_TRUE(eventually([&] {
+            RawCaller caller(fleet->port(i));
+            caller.send("GET / HTTP/1.1\r\nHost: n.example\r\n"
+                        "X-Request-Id: n\r\n\r\n");
+            return caller.read().status == 200;
+        }));
+    }
+    fleet->config(3);
+    for (int i = 1; i <= 2; i++) {
+        EXPECT_TRUE(eventually([&] {
+            RawCaller caller(fleet->port(i));
+            caller.send("GET / HTTP/1.1\r\nHost: n.example\r\n"
+                        "X-Request-Id: n\r\n\r\n");
+            return caller.read().status == 404;
+        }));
+    }
+}
+
+TEST_F(RoutedTest, AStoreThatIsDownChangesNothingAndCatchesUp)
+{
+    fleet->control("store?name=down&value=1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    EXPECT_TRUE(fleet->serves(1));
+    EXPECT_TRUE(fleet->ready(1));
+    fleet->control("entry?id=c1");
+    fleet->control("store?name=compact&value=1");
+    fleet->control("store?name=down&value=0");
+    ASSERT_TRUE(eventually([&] {
+        static int n = 0;
+        std::string id = "after-" + std::to_string(n++);
+        fleet->ask(2, "/c/x", id);
+        return fleet->runs(id) == std::vector<std::string>{"c2"};
+    }));
+}
+
+TEST_F(RoutedTest, AHostThatTheStoreRefusesLearnsFromItsPeers)
+{
+    // Port 1 takes no connections: this daemon has only its peers.
+    fleet->daemons[2].reset();
+    fleet->start(2, "http://127.0.0.1:1");
+    EXPECT_TRUE(eventually([&] { return fleet->ready(2); }));
+    EXPECT_TRUE(eventually([&] { return fleet->serves(2); }));
+}
+
+TEST_F(RoutedTest, AHostWithoutConfigurationIsNotReadyAndSaysNotRun)
+{
+    fleet->daemons[1].reset();
+    fleet->daemons[2].reset();
+    fleet->start(1, "http://127.0.0.1:1");
+    ASSERT_TRUE(
+        eventually([&] { return RawCaller(fleet->port(1)).connected; }));
+    EXPECT_FALSE(fleet->ready(1));
+    RoutedAnswer answer = fleet->ask(1, "/c/x", "early");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_FALSE(answer.header("Retry-After").empty());
+}
+
+TEST_F(RoutedTest, ACallerThatLeavesIsNotWorkedFor)
+{
+    fleet->fault("c1", "pause_ms", 5000);
+    fleet->fault("c2", "pause_ms", 5000);
+    RawCaller caller(fleet->port(1));
+    caller.send(RoutedFleet::request("/c/x", "left"));
+    EXPECT_TRUE(eventually([&] { return fleet->runs("left").size() == 1; }));
+    caller.close_now();
+    std::string state = "http://" + fleet->address(12) + "/state";
+    EXPECT_TRUE(eventually([&] {
+        return http(state).body.find("\"attempts\": 0") != std::string::npos;
+    })) << "its attempt ends when it has lingered";
+}
+
+TEST_F(RoutedTest, APlannedStopCutsOffNoRequest)
+{
+    fleet->fault("c1", "pause_ms", 400);
+    fleet->fault("c2", "pause_ms", 400);
+    RawCaller running(fleet->port(1));
+    running.send(RoutedFleet::request("/c/x", "running"));
+    ASSERT_TRUE(
+        eventually([&] { return fleet->runs("running").size() >= 1; }));
+    RawCaller kept(fleet->port(1));
+    fleet->daemons[1]->signal(SIGTERM);
+    EXPECT_TRUE(eventually([&] { return !fleet->ready(1); }));
+    kept.send(RoutedFleet::request("/c/x", "kept"));
+    EXPECT_EQ(running.read().status, 200);
+    RoutedAnswer answer = kept.read();
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.header("Connection"), "close");
+    EXPECT_EQ(fleet->daemons[1]->wait(), 0);
+}
