log, cli: trace: bounded lines on standard output, and one request's story

Lines carry time and host, those about single requests are bounded to 200 a second, and a reader that is behind costs lines, never time. lavenderrail trace ID tells what the logs of all hosts say of one request.

--- a/cli/lavenderrail.c
+++ b/cli/lavenderrail.c
@@ -9,6 +9,7 @@
 
 #include "lavenderrail.h"
 #include "table.h"
+#include "trace.h"
 
 enum {
     EXIT_ERROR = 1,
@@ -470,6 +471,14 @@
     return status;
 }
 
+static int
+run_trace(const Options *options, const char *const *arguments)
+{
+    (void)options;
+    return Trace_Print(arguments[0], stdin, stdout) > 0 ? EXIT_SUCCESS
+                                                        : EXIT_ERROR;
+}
+
 static const Command COMMANDS[] = {
     {"query", "query ENTRY BODY      ask every shard", 2, run_query},
     {"call", "call ENTRY BODY       ask one target", 2, run_call},
@@ -481,6 +490,8 @@
      run_hosts},
     {"explain", "explain ENTRY         why an entry waits or is slow", 1,
      run_explain},
+    {"trace", "trace ID              what logs on standard input tell of it",
+     1, run_trace},
 };
 
 static void
--- a/cli/lavenderraild.c
+++ b/cli/lavenderraild.c
@@ -152,6 +152,8 @@
 {
     struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
     LrLog *log = LrLog_New(stdout, (int)settings->log_level);
+    LrLog_SetOrigin(log, settings->name);
+    LrLog_SetBounds(log, (double)settings->log_lines_per_s);
     GError *error = NULL;
     Program program = {
         .daemon = LrDaemon_New(loop, settings, deployment, log, &error),
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -214,8 +214,10 @@
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
+    LrDaemon *daemon = timer->data;
     on_timer(loop, timer, events);
-    end_if_finished(timer->data);
+    LrLog_Flush(daemon->log);
+    end_if_finished(daemon);
 }
 
 static void
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -21,6 +21,12 @@
     [LR_ATTEMPT_HEDGE] = LR_COUNT_HEDGES,
 };
 
+static const char *const KIND_NAMES[] = {
+    [LR_ATTEMPT_FIRST] = "first",
+    [LR_ATTEMPT_RETRY] = "retry",
+    [LR_ATTEMPT_HEDGE] = "hedge",
+};
+
 static void
 note_tried(LrPart *part, LrTarget *target)
 {
@@ -61,6 +67,7 @@
     action->klass = query->klass;
     action->body = query->body;
     action->data = query->data;
+    action->cause = KIND_NAMES[part->next_kind];
 }
 
 bool
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -121,7 +121,7 @@
     LrCounters_Add(gateway->daemon->counters, LR_COUNT_ROUTED_REFUSED, 1);
     LR_LOG(gateway->daemon->log, LOG_INFO, "request_refused",
            LrLog_Str("id", id),
-           LrLog_Str("host", LrMessage_Header(message, "Host")),
+           LrLog_Str("host_name", LrMessage_Header(message, "Host")),
            LrLog_Str("path", LrMessage_Path(message)),
            LrLog_Int("status", status),
            LrLog_C("reason", LrReason_Names[reason]));
@@ -350,6 +350,16 @@
         .max_idle = routed->route->idempotent ? LR_NEVER : SAFE_IDLE,
     };
     attempt->call = LrUpstream_Send(gateway->upstream, &spec);
+    if (strcmp(action->cause, "first") != 0) {
+        LR_LOG(gateway->daemon->log, LOG_INFO, "attempt_repeated",
+               LrLog_C("id", routed->id),
+               LrLog_Int("attempt", (int64_t)action->attempt),
+               LrLog_C("cause", action->cause),
+               LrLog_Str("shard", action->shard),
+               LrLog_C("target", attempt->instance),
+               LrLog_Int("left_ms",
+                         (action->deadline - LrLoop_Now()) / LR_MILLISECOND));
+    }
 }
 
 bool
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -881,6 +881,13 @@
      .min = 64,
      .max = 1048576,
      .fallback = 1024},
+    {.name = "log_lines_per_s",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrSettings, log_lines_per_s),
+     .hint = "log lines about single requests in a second",
+     .min = 1,
+     .max = 1000000,
+     .fallback = 200},
 };
 
 const LrObjectSpec LrSettings_Spec = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -382,6 +382,8 @@
     int64_t memory_mb;
     /* file descriptors that the process may use */
     int64_t max_files;
+    /* log lines about single requests in a second */
+    int64_t log_lines_per_s;
 } LrSettings;
 extern const LrObjectSpec LrSettings_Spec;
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -166,6 +166,15 @@
 
 LrLog *LrLog_New(FILE *file, int level);
 void LrLog_Free(LrLog *log);
+/* Lets lines gather until LrLog_Flush, and bounds their number: of those that
+ * tell of single requests (LOG_INFO and below) so many a second are written.
+ * What is held back or dropped is counted and told. */
+void LrLog_SetBounds(LrLog *log, double lines_per_second);
+/* Begins each line with the time and the name of its host, which is borrowed.
+ */
+void LrLog_SetOrigin(LrLog *log, LrStr host);
+/* Writes what has gathered, as far as that does not block. */
+void LrLog_Flush(LrLog *log);
 LrLogField LrLog_Str(const char *key, LrStr value);
 LrLogField LrLog_C(const char *key, const char *value);
 LrLogField LrLog_Int(const char *key, int64_t value);
@@ -981,6 +990,8 @@
     GBytes *body;
     /* Of the request that the attempt belongs to. */
     void *data;
+    /* Why the attempt is made: first, retry or hedge. */
+    const char *cause;
     LrAnswer *answer;
 } LrAction;
 
--- a/liblavenderrail/log.c
+++ b/liblavenderrail/log.c
@@ -1,10 +1,29 @@
 /* One line of key=value pairs an event, with a syslog priority in front. */
 #include "lavenderrail.h"
 
+#include <poll.h>
+#include <unistd.h>
+
+enum {
+    /* A pipe that polls writable takes so much without blocking. */
+    WRITE_CHUNK = 4096,
+    /* Lines that a reader who is behind may leave unread. */
+    MAX_PENDING = 256 << 10,
+};
+
+/* Seconds' worth of lines that may come at once. */
+#define BURST_SECONDS 2.0
+
 struct LrLog {
     FILE *file;
     int level;
     GString *line;
+    GString *pending;
+    bool bounded;
+    LrStr host;
+    LrBucket rate;
+    uint64_t n_held_back;
+    uint64_t n_dropped;
 };
 
 LrLog *
@@ -14,6 +33,7 @@
     log->file = file;
     log->level = level;
     log->line = g_string_new(NULL);
+    log->pending = g_string_new(NULL);
     return log;
 }
 
@@ -23,10 +43,99 @@
     if (!log) {
         return;
     }
+    LrLog_Flush(log);
     g_string_free(log->line, TRUE);
+    g_string_free(log->pending, TRUE);
     g_free(log);
 }
 
+void
+LrLog_SetBounds(LrLog *log, double lines_per_second)
+{
+    log->bounded = true;
+    LrBucket_Init(&log->rate, lines_per_second,
+                  BURST_SECONDS * lines_per_second, LrLoop_Now());
+}
+
+void
+LrLog_SetOrigin(LrLog *log, LrStr host)
+{
+    log->host = host;
+}
+
+static void
+start_line(LrLog *log, int priority, const char *event)
+{
+    g_string_printf(log->line, "<%d>", priority);
+    if (log->host.len > 0) {
+        g_string_append_printf(log->line, "ts=%" G_GINT64_FORMAT " host=%.*s ",
+                               LrLoop_WallMs(), (int)log->host.len,
+                               log->host.ptr);
+    }
+    g_string_append_printf(log->line, "event=%s", event);
+}
+
+static void
+append_line(LrLog *log)
+{
+    if (log->pending->len + log->line->len > MAX_PENDING) {
+        log->n_dropped++;
+        return;
+    }
+    g_string_append_len(log->pending, log->line->str, (gssize)log->line->len);
+}
+
+/* Tells what is missing from the log. */
+static void
+tell_gaps(LrLog *log)
+{
+    if (log->n_held_back == 0 && log->n_dropped == 0) {
+        return;
+    }
+    start_line(log, LOG_WARNING, "log_gap");
+    g_string_append_printf(log->line,
+                           " held_back=%" G_GUINT64_FORMAT
+                           " dropped=%" G_GUINT64_FORMAT "\n",
+                           log->n_held_back, log->n_dropped);
+    log->n_held_back = 0;
+    log->n_dropped = 0;
+    append_line(log);
+}
+
+static bool
+is_writable(int fd)
+{
+    struct pollfd wanted = {.fd = fd, .events = POLLOUT};
+    return poll(&wanted, 1, 0) == 1 && (wanted.revents & POLLOUT);
+}
+
+static void
+flush_file(LrLog *log)
+{
+    fwrite(log->pending->str, 1, log->pending->len, log->file);
+    fflush(log->file);
+    g_string_truncate(log->pending, 0);
+}
+
+void
+LrLog_Flush(LrLog *log)
+{
+    if (!log->bounded) {
+        flush_file(log);
+        return;
+    }
+    int fd = fileno(log->file);
+    tell_gaps(log);
+    while (log->pending->len > 0 && is_writable(fd)) {
+        ssize_t sent =
+            write(fd, log->pending->str, MIN(log->pending->len, WRITE_CHUNK));
+        if (sent <= 0) {
+            return;
+        }
+        g_string_erase(log->pending, 0, sent);
+    }
+}
+
 LrLogField
 LrLog_Str(const char *key, LrStr value)
 {
@@ -87,8 +196,13 @@
     if (!log || priority > log->level) {
         return;
     }
+    if (log->bounded && priority >= LOG_INFO &&
+        !LrBucket_Take(&log->rate, LrLoop_Now())) {
+        log->n_held_back++;
+        return;
+    }
     GString *line = log->line;
-    g_string_printf(line, "<%d>event=%s", priority, event);
+    start_line(log, priority, event);
     for (size_t i = 0; i < n_fields; i++) {
         const LrLogField *field = &fields[i];
         g_string_append_printf(line, " %s=", field->key);
@@ -104,6 +218,9 @@
         }
     }
     g_string_append_c(line, '\n');
-    fwrite(line->str, 1, line->len, log->file);
-    fflush(log->file);
+    append_line(log);
+    if (!log->bounded || priority <= LOG_WARNING ||
+        log->pending->len > WRITE_CHUNK) {
+        LrLog_Flush(log);
+    }
 }
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <string>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <gtest/gtest.h>
 
@@ -127,3 +128,49 @@
     EXPECT_EQ(output.status, 1);
     EXPECT_TRUE(has(output, "event=start_failed")) << output.text;
 }
+
+TEST(Cli, SettingsFileGoesAfterFlagsAndVariables)
+{
+    std::string path = "/tmp/lr-cli-" + std::to_string(getpid()) + ".conf";
+    std::ofstream(path) << "# comment\nname=from-file\nzone=z\nprobe-ms=700\n"
+                           "config-url=http://127.0.0.1:1\n"
+                           "seeds=127.0.0.1:9\ncontract=platform\n";
+    std::string daemon = BIN + "lavenderraild --settings " + path + " ";
+    EXPECT_EQ(run(daemon + "--check-settings").status, 0);
+    EXPECT_EQ(run(daemon + "--check-settings --probe-ms x").status, 2);
+    Output contract = run(daemon + "--contract other");
+    EXPECT_EQ(contract.status, 2);
+    EXPECT_TRUE(has(contract, "--contract: names no contract: 'other'"));
+    std::ofstream(path)
+        << "name=a\nno equals here\nunheard-of=1\nprobe-ms=x\n";
+    Output bad = run(daemon + "--check-settings");
+    EXPECT_EQ(bad.status, 2);
+    EXPECT_TRUE(has(bad, ":2: has no '='")) << bad.text;
+    EXPECT_TRUE(has(bad, ":3: names no setting: 'unheard-of'")) << bad.text;
+    EXPECT_TRUE(has(bad, "probe-ms: cannot be read")) << bad.text;
+    unlink(path.c_str());
+    EXPECT_EQ(run(daemon + "--check-settings").status, 2);
+}
+
+TEST(Cli, TraceTellsARequestInOrderOfTime)
+{
+    std::string path = "/tmp/lr-trace-" + std::to_string(getpid()) + ".log";
+    std::ofstream(path)
+        << "<6>ts=1020 host=b event=request_answered id=r1 route=wide "
+           "outcome=partial reason=deadline status=200 parts=2 answered=1 "
+           "attempts=3 ms=20 config=7\n"
+        << "<6>ts=1000 host=b event=attempt_repeated id=r1 attempt=5 "
+           "cause=hedge shard=s1 target=\"t 1\" left_ms=90\n"
+        << "<6>ts=1001 host=b event=request_answered id=r12 status=200\n"
+        << "no log line\n";
+    Output story = run(BIN + "lavenderrail trace r1 < " + path);
+    EXPECT_EQ(story.status, 0);
+    size_t hedge = story.text.find("hedge of shard s1 to t 1, 90 ms left");
+    size_t answer = story.text.find("+   20 ms  b");
+    EXPECT_NE(hedge, std::string::npos) << story.text;
+    EXPECT_NE(answer, std::string::npos) << story.text;
+    EXPECT_LT(hedge, answer);
+    EXPECT_FALSE(has(story, "r12"));
+    EXPECT_EQ(run(BIN + "lavenderrail trace none < " + path).status, 1);
+    unlink(path.c_str());
+}
--- a/tests/test_log.cc
+++ b/tests/test_log.cc
@@ -3,6 +3,9 @@
 
 #include <string>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include "lavenderrail.h"
 
 class LogTest : public testing::Test {
@@ -53,3 +56,63 @@
     LR_LOG(log, LOG_DEBUG, "noise", LrLog_Int("n", 1));
     EXPECT_EQ(line(), "");
 }
+
+// A reader that has stopped reading costs lines, not time.
+TEST(BoundedLog, AFullPipeDropsLinesAndTellsHowMany)
+{
+    int ends[2];
+    ASSERT_EQ(pipe(ends), 0);
+    FILE *file = fdopen(ends[1], "w");
+    LrLog *log = LrLog_New(file, LOG_INFO);
+    LrLog_SetBounds(log, 1e9);
+    std::string long_text(1000, 'x');
+    for (int i = 0; i < 2000; i++) {
+        LR_LOG(log, LOG_INFO, "line", LrLog_C("text", long_text.c_str()),
+               LrLog_Int("n", i));
+    }
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    std::string seen;
+    char chunk[65536];
+    for (int i = 0; i < 100; i++) {
+        ssize_t got = read(ends[0], chunk, sizeof(chunk));
+        if (got > 0) {
+            seen.append(chunk, (size_t)got);
+        }
+        LrLog_Flush(log);
+    }
+    EXPECT_NE(seen.find("event=log_gap held_back=0 dropped="),
+              std::string::npos);
+    EXPECT_EQ(seen.back(), '\n') << "lines are whole";
+    LrLog_Free(log);
+    fclose(file);
+    close(ends[0]);
+}
+
+TEST(BoundedLog, LinesAboutRequestsAreBoundedOthersAreNot)
+{
+    FILE *file = tmpfile();
+    LrLog *log = LrLog_New(file, LOG_INFO);
+    LrLog_SetBounds(log, 10);
+    for (int i = 0; i < 1000; i++) {
+        LR_LOG(log, LOG_INFO, "request", LrLog_Int("n", i));
+    }
+    for (int i = 0; i < 50; i++) {
+        LR_LOG(log, LOG_NOTICE, "belief", LrLog_Int("n", i));
+    }
+    LrLog_Free(log);
+    rewind(file);
+    std::string text(1 << 20, ' ');
+    text.resize(fread(text.data(), 1, text.size(), file));
+    int n_requests = 0;
+    int n_beliefs = 0;
+    for (size_t at = 0; (at = text.find("event=", at)) != std::string::npos;
+         at++) {
+        n_requests += text.compare(at, 13, "event=request") == 0;
+        n_beliefs += text.compare(at, 12, "event=belief") == 0;
+    }
+    EXPECT_LE(n_requests, 21);
+    EXPECT_GE(n_requests, 20);
+    EXPECT_EQ(n_beliefs, 50);
+    EXPECT_NE(text.find("held_back=9"), std::string::npos);
+    fclose(file);
+}
