--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -378,6 +378,7 @@
         .hedge_medians = daemon->settings.hedge_medians,
         .answer_margin = daemon->settings.answer_margin_ms * LR_MILLISECOND,
         .direct = routed,
+        .confirm_deaths = routed,
         .track_withdrawn = routed,
         .policy = routed ? &LrRoutePolicy_Finish : &LrRoutePolicy_Estimate,
         .counters = daemon->counters,
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -250,6 +250,7 @@
         LrRouter_MarkLeaving(engine->router, target, LR_SIGN_ANSWER, now);
     }
     LrRouter_SetVersions(engine->router, target, reply->oldest, reply->newest);
+    LrQuery_JudgeBreaks(engine, target, reply->status, now);
     switch (reply->status) {
     case LR_REPLY_OK:
         LrLatency_Add(query->entry->service->state->attempt, latency);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -411,6 +411,18 @@
 typedef struct LrAttempt LrAttempt;
 typedef struct LrPart LrPart;
 typedef struct LrQuery LrQuery;
+
+/* A request whose connection to a target broke: it is to blame only where the
+ * target turns out to be down. */
+typedef struct {
+    uint64_t fingerprint;
+    uint32_t query;
+    bool alone;
+    LrTime at;
+} LrBreak;
+
+enum { LR_MAX_BREAKS = 8 };
+
 TAILQ_HEAD(LrAttemptList, LrAttempt);
 TAILQ_HEAD(LrPartList, LrPart);
 TAILQ_HEAD(LrQueryList, LrQuery);
@@ -459,11 +471,16 @@
     /* What was in flight at the target's last death. */
     uint32_t death_suspects;
     uint32_t death_requests;
+    LrBreak breaks[LR_MAX_BREAKS];
+    unsigned n_breaks;
     uint32_t ejections;
     LrTime ejected_until;
     unsigned leaving_signs;
     LrTime leaving_until;
     LrTime warm_at;
+    /* Used only where the other replicas of its group do not do: this daemon
+     * leaves the target's connections to others. */
+    bool spare;
     /* Index versions that the last answer named; 0 while unknown. */
     int64_t oldest;
     int64_t newest;
@@ -592,6 +609,13 @@
 /* Connections that each of so many daemons may have to a target; all of
  * them when the fleet is not known. */
 uint32_t LrSubset_Links(uint32_t connections, size_t n_daemons);
+/* Replicas of a group that each daemon uses while they are well, when so
+ * many daemons share targets of so many connections. */
+size_t LrSubset_Replicas(uint32_t connections, size_t n_replicas,
+                         size_t n_daemons);
+/* Rank of a replica for a daemon: lower goes first. Spreads the daemons
+ * evenly over the replicas of a group. */
+uint64_t LrSubset_Rank(LrStr daemon, LrStr target);
 /* Bundle that a group of a map belongs to. */
 size_t LrSubset_Bundle(size_t group);
 /* Fills chosen with the indices of size daemons for a bundle. */
@@ -903,6 +927,9 @@
     LrTime answer_margin;
     /* No shard is reached by way of other daemons. */
     bool direct;
+    /* A broken connection is taken for a death only where the next one to the
+     * target cannot be set up. */
+    bool confirm_deaths;
     /* Withdrawn attempts go on to count at their target until the edge tells
      * how they ended. */
     bool track_withdrawn;
--- a/liblavenderrail/placement.c
+++ b/liblavenderrail/placement.c
@@ -10,6 +10,9 @@
 /* Added for a target in another zone, as a share of the typical latency:
  * traffic between zones is paid for. */
 #define REMOTE_SHARE 0.2
+/* Added for a target whose connections are left to other daemons, in typical
+ * latencies: it is used when the others stand still. */
+#define SPARE_MEDIANS 1.0
 /* A target that has just started is slower by about this factor. */
 #define COLD_FACTOR 1.5
 
@@ -37,6 +40,9 @@
     if (target->warm_at > now) {
         finish *= COLD_FACTOR;
     }
+    if (target->spare) {
+        finish += SPARE_MEDIANS * (double)typical;
+    }
     if (!target->local) {
         finish += REMOTE_SHARE * (double)typical;
     }
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -198,6 +198,9 @@
                         const LrRequest *request);
 /* Ends the query without an answer. */
 void LrQuery_Abandon(LrEngine *engine, LrQuery *query);
+/* What the reply of an attempt says of earlier breaks at its target. */
+void LrQuery_JudgeBreaks(LrEngine *engine, LrTarget *target,
+                         LrReplyStatus status, LrTime now);
 void LrQuery_OnReply(LrEngine *engine, LrAttempt *attempt,
                      const LrReply *reply, LrTime now);
 /* Starts an admitted query: resolve, plan, send. */
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -315,6 +315,59 @@
     }
 }
 
+/* How long a break waits for the target to turn out down or up. */
+#define BREAK_TTL (2 * LR_SECOND)
+
+static void
+note_break(const LrAttempt *attempt, LrTime now)
+{
+    LrTarget *target = attempt->target;
+    const LrQuery *query = attempt->part->query;
+    if (target->n_breaks < LR_MAX_BREAKS) {
+        target->breaks[target->n_breaks++] = (LrBreak){
+            .fingerprint = query->fingerprint,
+            .query = (uint32_t)query->id,
+            .alone = target->death_requests == 1,
+            .at = now,
+        };
+    }
+}
+
+/* A request is struck once for all the targets that it was at; a crashing
+ * one comes again. */
+static void
+confirm_break(LrEngine *engine, const LrBreak *broken, LrTime now)
+{
+    LrCompany company = broken->alone ? LR_COMPANY_NONE : LR_COMPANY_OTHERS;
+    LrVerdict verdict = LrQuarantine_Strike(
+        engine->quarantine, broken->fingerprint, broken->query, company, now);
+    if (verdict == LR_VERDICT_SUSPECT) {
+        mark_suspects(engine, broken->fingerprint);
+    }
+    else if (verdict == LR_VERDICT_CONDEMNED) {
+        LR_LOG(engine->config.log, LOG_WARNING, "request_quarantined",
+               LrLog_Int("fingerprint", (int64_t)broken->fingerprint));
+    }
+}
+
+void
+LrQuery_JudgeBreaks(LrEngine *engine, LrTarget *target, LrReplyStatus status,
+                    LrTime now)
+{
+    bool down = status == LR_REPLY_CONNECT_FAILED;
+    bool up = status == LR_REPLY_OK || status == LR_REPLY_SHED ||
+              status == LR_REPLY_ERROR;
+    if (!down && !up) {
+        return;
+    }
+    for (unsigned i = 0; down && i < target->n_breaks; i++) {
+        if (now - target->breaks[i].at < BREAK_TTL) {
+            confirm_break(engine, &target->breaks[i], now);
+        }
+    }
+    target->n_breaks = 0;
+}
+
 /* The target died, for all that can be seen, while it ran the attempt. */
 static LrVerdict
 strike(LrEngine *engine, const LrAttempt *attempt, LrTime now)
@@ -323,6 +376,10 @@
     LrTarget *target = attempt->target;
     uint64_t fingerprint = part->query->fingerprint;
     LrCompany company = company_at(attempt, target, now);
+    if (engine->config.confirm_deaths) {
+        note_break(attempt, now);
+        return LR_VERDICT_CLEAR;
+    }
     part->n_broken++;
     LrVerdict verdict = LrQuarantine_Strike(engine->quarantine, fingerprint,
                                             target->index, company, now);
--- a/liblavenderrail/subset.c
+++ b/liblavenderrail/subset.c
@@ -15,7 +15,12 @@
  * replacements that overlap with those they replace. */
 #define GIVEN_SHARE 0.8
 
-enum { BUNDLE = 16, MIN_DAEMONS = 2 };
+/* Connections that a daemon wants to a target: one in use, and at times a
+ * second one while a withdrawn attempt lingers. */
+#define WANTED_LINKS 1.5
+
+/* A hedge needs a second replica. */
+enum { BUNDLE = 16, MIN_DAEMONS = 2, MIN_REPLICAS = 2 };
 
 size_t
 LrSubset_Size(uint32_t connections, uint32_t links, size_t n_daemons)
@@ -33,6 +38,23 @@
     return (uint32_t)MAX(1, GIVEN_SHARE * connections / (double)n_daemons);
 }
 
+size_t
+LrSubset_Replicas(uint32_t connections, size_t n_replicas, size_t n_daemons)
+{
+    if (n_daemons == 0) {
+        return n_replicas;
+    }
+    double used = (double)n_replicas * GIVEN_SHARE * connections /
+                  (WANTED_LINKS * (double)n_daemons);
+    return CLAMP((size_t)used, MIN(MIN_REPLICAS, n_replicas), n_replicas);
+}
+
+uint64_t
+LrSubset_Rank(LrStr daemon, LrStr target)
+{
+    return LrStr_Hash(target, LrStr_Hash(daemon, 0));
+}
+
 size_t
 LrSubset_Bundle(size_t group)
 {
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -2,6 +2,8 @@
  * view that they started on; states outlive it. */
 #include "lavenderrail.h"
 
+#include <stdlib.h>
+
 struct LrStates {
     GHashTable *groups;
     GHashTable *services;
@@ -124,6 +126,41 @@
     }
 }
 
+typedef struct {
+    LrTarget *target;
+    uint64_t rank;
+} Ranked;
+
+static int
+local_first(const void *a, const void *b)
+{
+    const Ranked *left = a;
+    const Ranked *right = b;
+    if (left->target->local != right->target->local) {
+        return left->target->local ? -1 : 1;
+    }
+    return (left->rank > right->rank) - (left->rank < right->rank);
+}
+
+/* Where connections are short, each daemon keeps to some replicas. */
+static void
+mark_spares(LrGroup *group, uint32_t connections, const LrTopology *topology)
+{
+    size_t n = group->n_replicas;
+    size_t used = LrSubset_Replicas(connections, n, topology->n_daemons);
+    Ranked *ranked = g_new0(Ranked, n + 1);
+    for (size_t i = 0; i < n; i++) {
+        ranked[i].target = group->replicas[i];
+        ranked[i].rank =
+            LrSubset_Rank(topology->self, group->replicas[i]->key);
+    }
+    qsort(ranked, n, sizeof(Ranked), local_first);
+    for (size_t i = 0; i < n; i++) {
+        ranked[i].target->spare = i >= used;
+    }
+    g_free(ranked);
+}
+
 static LrTarget *
 hold_relay(LrView *view, const LrPeerSpec *peer, LrTime now)
 {
@@ -193,10 +230,9 @@
     uint32_t connections = (uint32_t)service->connections;
     Chosen chosen = {
         .topology = topology,
-        .size = topology->direct
-                    ? topology->n_daemons
-                    : LrSubset_Size(connections, topology->links,
-                                    topology->n_daemons),
+        .size = topology->direct ? topology->n_daemons
+                                 : LrSubset_Size(connections, topology->links,
+                                                 topology->n_daemons),
         .chosen = g_new0(size_t, topology->n_daemons + 1),
     };
     map->version = spec->version;
@@ -214,6 +250,7 @@
         if (chosen.direct) {
             build_direct(view, &map->groups[i], group,
                          LrSubset_Links(connections, chosen.size), now);
+            mark_spares(&map->groups[i], connections, topology);
         }
         else {
             build_relayed(view, &map->groups[i], &chosen, now);
--- /dev/null
+++ b/tests/test_repeat.cc
@@ -0,0 +1,203 @@
+// Decisions of the routed contract in the engine: attempts a request may
+// cost, shards an answer must hold, and when a broken connection is a death.
+#include "world.h"
+
+namespace {
+
+// An engine as the routed contract sets it up.
+class Routed : public World {
+  public:
+    Routed(int n_groups, int n_replicas, double ratio = 0.2,
+           double extra = 100)
+        : World(n_groups, n_replicas)
+    {
+        LrEngine_Free(engine);
+        LrEngineConfig config = {};
+        config.zone = LrStr_FromC("z0");
+        config.seed = 3;
+        config.budget = {ratio, extra, 10 * LR_SECOND};
+        config.hedge_medians = 2;
+        config.confirm_deaths = true;
+        config.track_withdrawn = true;
+        config.direct = true;
+        config.policy = &LrRoutePolicy_Finish;
+        config.counters = counters;
+        engine = LrEngine_New(&config);
+        entries = R"(
+          {"name":"ask","owner":"o","service":"s","deadline_ms":500,
+           "max_attempts":2},
+          {"name":"strict","owner":"o","service":"s","deadline_ms":500,
+           "min_coverage":0.7,"strict_coverage":true,"max_attempts":1},
+          {"name":"once","owner":"o","service":"s","deadline_ms":500,
+           "idempotent":false,"max_attempts":2})";
+        publish({2});
+    }
+    // Enough answers of 10 ms to know what is typical.
+    void
+    warm()
+    {
+        for (int i = 0; i < 60; i++) {
+            submit("ask", false, ("warm" + std::to_string(i)).c_str());
+            now += 10 * kMs;
+            while (!sends.empty()) {
+                reply(take(), LR_REPLY_OK);
+            }
+        }
+        answers.clear();
+    }
+};
+
+} // namespace
+
+TEST(Repeat, APartGoesToNoMoreTargetsThanItsEntryAllows)
+{
+    Routed world(1, 3);
+    world.warm();
+    world.submit("ask", false, "slow");
+    world.advance(499 * World::kMs);
+    EXPECT_EQ(world.sends.size(), 2u) << "one hedge, and no more";
+}
+
+TEST(Repeat, ARefusalIsNoRun)
+{
+    Routed world(1, 3);
+    world.submit("ask", false, "full");
+    for (int i = 0; i < 3; i++) {
+        ASSERT_EQ(world.sends.size(), 1u);
+        Send send = world.take();
+        world.reply(send, i < 2 ? LR_REPLY_SHED : LR_REPLY_OK);
+    }
+    ASSERT_EQ(world.answers.size(), 1u);
+    EXPECT_EQ(world.answers[0].outcome, LR_OUTCOME_COMPLETE);
+}
+
+TEST(Repeat, AnEmptyBudgetMeansNoRepeat)
+{
+    Routed world(1, 3, 0.0001, 0);
+    world.submit("ask", false, "x");
+    world.reply(world.take(), LR_REPLY_ERROR);
+    EXPECT_TRUE(world.sends.empty());
+    ASSERT_EQ(world.answers.size(), 1u);
+    EXPECT_EQ(world.answers[0].outcome, LR_OUTCOME_UNKNOWN);
+    EXPECT_EQ(world.count(LR_COUNT_BUDGET_REFUSED), 1u);
+}
+
+TEST(Repeat, AFailedConnectIsRepeatedFreeOfTheBudget)
+{
+    Routed world(1, 3, 0.0001, 0);
+    world.submit("ask", false, "x");
+    world.reply(world.take(), LR_REPLY_CONNECT_FAILED);
+    EXPECT_EQ(world.sends.size(), 1u);
+}
+
+TEST(Repeat, AnAnswerThatCannotSufficeIsGivenUpAtOnce)
+{
+    Routed world(3, 1);
+    world.submit("strict");
+    ASSERT_EQ(world.sends.size(), 3u);
+    world.reply(world.take(), LR_REPLY_ERROR);
+    ASSERT_EQ(world.answers.size(), 1u) << "two of three are below 0.7";
+    EXPECT_EQ(world.answers[0].outcome, LR_OUTCOME_UNKNOWN);
+    EXPECT_LT(world.answers[0].at, LR_SECOND + 10 * World::kMs);
+}
+
+TEST(Repeat, ShardsWithoutTargetsAreRefusedBeforeAnythingIsSent)
+{
+    Routed world(3, 1);
+    LrRouter_MarkLeaving(LrEngine_Router(world.engine),
+                         world.target("127.0.0.1:1"), LR_SIGN_ANSWER,
+                         world.now);
+    world.submit("strict");
+    EXPECT_TRUE(world.sends.empty());
+    ASSERT_EQ(world.answers.size(), 1u);
+    EXPECT_EQ(world.answers[0].outcome, LR_OUTCOME_NOT_RUN);
+    EXPECT_EQ(world.answers[0].reason, LR_REASON_NO_REPLICA);
+}
+
+TEST(Repeat, AnUnsafeRequestThatMayHaveRunIsNotRepeated)
+{
+    for (LrReplyStatus status :
+         {LR_REPLY_BROKEN, LR_REPLY_STALE, LR_REPLY_TIMEOUT, LR_REPLY_ERROR,
+          LR_REPLY_GARBAGE}) {
+        Routed world(1, 3);
+        world.submit("once");
+        world.reply(world.take(), status);
+        EXPECT_TRUE(world.sends.empty()) << LrReplyStatus_Names[status];
+        ASSERT_EQ(world.answers.size(), 1u);
+        EXPECT_EQ(world.answers[0].outcome, LR_OUTCOME_UNKNOWN);
+    }
+    for (LrReplyStatus status :
+         {LR_REPLY_SHED, LR_REPLY_CONNECT_FAILED, LR_REPLY_MISDIRECTED}) {
+        Routed world(1, 3);
+        world.submit("once");
+        world.reply(world.take(), status);
+        EXPECT_EQ(world.sends.size(), 1u) << LrReplyStatus_Names[status];
+    }
+}
+
+// Fails when each broken connection strikes: a query over many shards was
+// quarantined by a few lost answers.
+TEST(Repeat, LostAnswersOfLivingTargetsQuarantineNobody)
+{
+    Routed world(4, 3);
+    for (int i = 0; i < 5; i++) {
+        world.submit("ask", false, "lost");
+        while (!world.sends.empty()) {
+            Send send = world.take();
+            world.reply(send, LR_REPLY_BROKEN);
+        }
+        // The targets answer the next request.
+        world.submit("ask", false, ("other" + std::to_string(i)).c_str());
+        while (!world.sends.empty()) {
+            world.reply(world.take(), LR_REPLY_OK);
+        }
+        world.advance(600 * World::kMs);
+    }
+    for (const Answer &answer : world.answers) {
+        EXPECT_NE(answer.reason, LR_REASON_QUARANTINED);
+    }
+}
+
+TEST(Repeat, ARequestThatTakesTargetsDownIsQuarantined)
+{
+    Routed world(1, 6);
+    int n_deaths = 0;
+    for (int i = 0; i < 8; i++) {
+        world.submit("ask", false, "poison");
+        while (!world.sends.empty()) {
+            Send send = world.take();
+            n_deaths++;
+            world.reply(send, LR_REPLY_BROKEN);
+        }
+        // Whoever comes next finds the targets down.
+        world.submit("once", false, ("next" + std::to_string(i)).c_str());
+        while (!world.sends.empty()) {
+            world.reply(world.take(), LR_REPLY_CONNECT_FAILED);
+        }
+        world.advance(1100 * World::kMs);
+    }
+    EXPECT_LE(n_deaths, 6) << "three deaths may happen, three more retries";
+    EXPECT_EQ(world.answers.back().outcome, LR_OUTCOME_NOT_RUN);
+}
+
+TEST(Repeat, AWithdrawnAttemptCountsUntilItsEndIsTold)
+{
+    Routed world(1, 2);
+    world.warm();
+    world.submit("ask", false, "slow");
+    world.advance(100 * World::kMs);
+    ASSERT_EQ(world.sends.size(), 2u);
+    Send first = world.take();
+    Send second = world.take();
+    world.reply(second, LR_REPLY_OK);
+    EXPECT_EQ(world.in_flight(), 1u) << "the first is still at its target";
+    for (int i = 0; i < 10; i++) {
+        world.submit("ask", false, ("more" + std::to_string(i)).c_str());
+        Send send = world.take();
+        EXPECT_EQ(send.address, second.address) << "the other one is silent";
+        world.now += 5 * World::kMs;
+        world.reply(send, LR_REPLY_OK);
+    }
+    world.reply(first, LR_REPLY_OK);
+    EXPECT_EQ(world.in_flight(), 0u);
+}
