callers: close: free closed connections with the next event

The analyzer could not follow the counts; closed connections now wait on a list, so that none is freed under a function that still holds it.

--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -135,7 +135,6 @@
         }
     }
     LrLoopTimers_Clear(standin->timers, &waiter->timer);
-    g_ptr_array_remove(standin->waiters, waiter);
     if (standin->lose) {
         LrExchange_Drop(waiter->exchange);
         json_decref(list);
@@ -152,7 +151,9 @@
 on_wait_over(void *data, LrTime now)
 {
     (void)now;
-    answer_waiter(data);
+    Waiter *waiter = data;
+    g_ptr_array_remove(waiter->standin->waiters, waiter);
+    answer_waiter(waiter);
 }
 
 static void
@@ -172,7 +173,7 @@
         g_hash_table_remove(standin->items, key);
     }
     while (standin->waiters->len > 0) {
-        answer_waiter(standin->waiters->pdata[0]);
+        answer_waiter(g_ptr_array_steal_index(standin->waiters, 0));
     }
 }
 
@@ -213,11 +214,11 @@
     waiter->after = after;
     waiter->timer = (LrTimer){.func = on_wait_over, .data = waiter};
     LrExchange_SetData(exchange, waiter);
-    g_ptr_array_add(standin->waiters, waiter);
     if (after < standin->revision) {
         answer_waiter(waiter);
         return;
     }
+    g_ptr_array_add(standin->waiters, waiter);
     LrTime wait = argument(exchange, "max_wait_ms") * LR_MILLISECOND;
     LrLoopTimers_Set(standin->timers, &waiter->timer, LrLoop_Now() + wait);
 }
--- a/liblavenderrail/callers.c
+++ b/liblavenderrail/callers.c
@@ -40,7 +40,7 @@
 struct Conn {
     LrCallers *callers;
     int fd;
-    int refs;
+    /* Freed with the next event. */
     bool closed;
     ConnState state;
     ev_io io;
@@ -64,22 +64,31 @@
     bool draining;
     size_t n_open;
     TAILQ_HEAD(, Conn) conns;
+    TAILQ_HEAD(, Conn) closed;
 };
 
 static void pump(Conn *conn);
 
 static void
-unref_conn(Conn *conn)
+free_conn(Conn *conn)
 {
-    if (--conn->refs > 0) {
-        return;
-    }
     LrMessage_Free(conn->message);
     g_byte_array_unref(conn->ahead);
     g_byte_array_unref(conn->out);
     g_free(conn);
 }
 
+/* Frees connections that were closed within earlier events. */
+static void
+free_closed(LrCallers *callers)
+{
+    Conn *conn;
+    while ((conn = TAILQ_FIRST(&callers->closed))) {
+        TAILQ_REMOVE(&callers->closed, conn, of_callers);
+        free_conn(conn);
+    }
+}
+
 static void
 close_conn(Conn *conn)
 {
@@ -92,8 +101,8 @@
     LrLoopTimers_Clear(callers->config.timers, &conn->timer);
     close(conn->fd);
     TAILQ_REMOVE(&callers->conns, conn, of_callers);
+    TAILQ_INSERT_TAIL(&callers->closed, conn, of_callers);
     callers->n_open--;
-    unref_conn(conn);
 }
 
 static void
@@ -216,12 +225,10 @@
 LrCall_Reply(LrCall *call, const GString *head, GBytes *body, bool close)
 {
     Conn *conn = call->conn;
-    conn->refs++;
     send_reply(conn, head, body, close);
     if (!conn->closed && conn->state == CONN_READING) {
         pump(conn);
     }
-    unref_conn(conn);
 }
 
 static void
@@ -336,7 +343,7 @@
 {
     (void)loop;
     Conn *conn = io->data;
-    conn->refs++;
+    free_closed(conn->callers);
     if (events & EV_WRITE) {
         if (flush(conn) && conn->state == CONN_READING) {
             pump(conn);
@@ -345,7 +352,6 @@
     if (!conn->closed && (events & EV_READ)) {
         on_readable(conn);
     }
-    unref_conn(conn);
 }
 
 static void
@@ -368,7 +374,6 @@
     Conn *conn = g_new0(Conn, 1);
     conn->callers = callers;
     conn->fd = fd;
-    conn->refs = 1;
     conn->message = LrMessage_NewRequest();
     LrMessage_SetBounds(conn->message, callers->limits.max_head_bytes,
                         callers->limits.max_body_bytes);
@@ -443,6 +448,7 @@
     callers->config = *config;
     callers->listener = listener;
     TAILQ_INIT(&callers->conns);
+    TAILQ_INIT(&callers->closed);
     ev_io_init(&callers->acceptable, on_acceptable, listener, EV_READ);
     callers->acceptable.data = callers;
     ev_io_start(config->loop, &callers->acceptable);
@@ -529,6 +535,7 @@
     {
         close_conn(conn);
     }
+    free_closed(callers);
     g_free(callers);
 }
 
