--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,636 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of the routed contract: real processes on loopback.
+
+Starts the stand-in of the store and the searchers, and daemons, each behind a
+proxy that can delay, reset, cut one way or silence its connections to the
+store and to its peers. Callers send requests while a seeded schedule stops,
+pauses, kills and restarts daemons and makes searchers and the store misbehave.
+What callers and searchers see is checked against the promises of the pages.
+
+    soak.py --bin DIR --seed N [--seconds S] [--daemons N] [--plant KIND]
+
+The last line is "seed=N ... violations=K"; the exit status is 1 when K > 0.
+Only processes that it started are ended, by their ids.
+"""
+import argparse
+import asyncio
+import collections
+import hashlib
+import json
+import random
+import signal
+import subprocess
+import sys
+import time
+import urllib.parse
+
+ZONES = ("z0", "z1", "z2")
+SHARDS = ("a", "b", "c")
+SINGLE = "one"
+DEADLINE_MS = 2000
+# Bounds of the stated promises, in seconds; loopback is as fast as the pages'.
+CONFIG_APPLY_S = 3.0
+DRAIN_S = 3.0
+GRACE_S = 6.0
+RECOVERY_S = 12.0
+BUDGET_RATIO, BUDGET_EXTRA, BUDGET_WINDOW_S = 0.2, 60, 10.0
+
+
+class Proxy:
+    """Forwards one port to another; its mode applies to open and new links."""
+
+    def __init__(self, port, target):
+        self.port, self.target, self.mode = port, target, "pass"
+        self.links = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.on_link, "127.0.0.1", self.port)
+
+    async def on_link(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, up_writer)
+        self.links.add(pair)
+        try:
+            await asyncio.gather(self.pump(reader, up_writer, "there"),
+                                 self.pump(up_reader, writer, "back"))
+        except asyncio.CancelledError:
+            pass  # the run is over
+        self.links.discard(pair)
+
+    async def pump(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                while self.mode in ("silent", "cut-" + way):
+                    await asyncio.sleep(0.02)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+    def reset(self):
+        for pair in list(self.links):
+            for writer in pair:
+                writer.transport.abort()
+
+
+class Soak:
+    def __init__(self, options):
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.base = options.port
+        self.processes = {}
+        self.started = []
+        # One fault at a time ends and starts a daemon; others overlap.
+        self.restarting = {i: asyncio.Lock()
+                           for i in range(1, options.daemons + 1)}
+        self.proxies = {}
+        self.violations = collections.Counter()
+        self.examples = []
+        self.sent = {}
+        self.counts = collections.Counter()
+        self.searchers = {}
+        self.left = {}
+        self.configs = []
+        self.disturbed_until = {}
+        self.next_id = 0
+        self.stopping = False
+
+    # -- processes ---------------------------------------------------------
+
+    def spawn(self, name, arguments):
+        log = open("%s/%s.log" % (self.options.logs, name), "ab")
+        self.processes[name] = subprocess.Popen(
+            arguments, stdout=log, stderr=subprocess.STDOUT)
+        self.started.append(self.processes[name])
+        log.close()
+
+    def port(self, i, what):
+        return self.base + 20 * i + what
+
+    def start_daemon(self, i):
+        address = "127.0.0.1:%d"
+        self.spawn("d%d" % i, [
+            self.options.bin + "/lavenderraild", "--contract=platform",
+            "--name=d%d" % i, "--zone=" + ZONES[i % 3],
+            "--listen=" + address % self.port(i, 1),
+            "--operator-listen=" + address % self.port(i, 2),
+            "--peer-listen=" + address % self.port(i, 3),
+            "--peer-address=" + address % self.port(i, 4),
+            "--seeds=%s,%s" % (address % self.port(1, 4),
+                               address % self.port(2, 4)),
+            "--config-url=http://" + address % self.port(i, 5),
+            "--probe-ms=300", "--watch-wait-ms=2000", "--watch-retry-ms=200",
+            "--drain-wait-ms=1000", "--stop-limit-ms=5400",
+            "--budget-ratio=%g" % BUDGET_RATIO,
+            "--budget-extra=%d" % BUDGET_EXTRA, "--budget-daemons=%d" %
+            self.options.daemons, "--hedge-medians=3", "--linger-ms=400",
+            "--answer-margin-ms=10", "--connect-timeout-ms=300",
+            "--seed=%d" % (self.options.seed + i)])
+
+    def kill_all(self):
+        for process in self.started:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+
+    # -- the stand-in's control --------------------------------------------
+
+    async def control(self, call, body=""):
+        status, _, text = await self.http(self.base, "POST",
+                                          "/control/" + call, {}, body)
+        if status != 200:
+            raise RuntimeError("stand-in refused %s: %s" % (call, text))
+
+    async def runs(self):
+        _, _, text = await self.http(self.base, "GET", "/control/runs", {})
+        return json.loads(text)["runs"]
+
+    async def http(self, port, method, path, headers, body=""):
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection("127.0.0.1", port), 2)
+        try:
+            await self.send(writer, method, path, headers, body)
+            return await asyncio.wait_for(self.read(reader), 10)
+        finally:
+            writer.close()
+
+    @staticmethod
+    async def send(writer, method, path, headers, body):
+        lines = ["%s %s HTTP/1.1" % (method, path), "Host: q.example"]
+        lines += ["%s: %s" % item for item in headers.items()]
+        lines.append("Content-Length: %d" % len(body))
+        writer.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+        await writer.drain()
+
+    @staticmethod
+    async def read(reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        lines = head.split("\r\n")
+        headers = {}
+        for line in lines[1:]:
+            if line:
+                name, value = line.split(": ", 1)
+                headers[name.lower()] = value
+        body = await reader.readexactly(
+            int(headers.get("content-length", "0")))
+        return int(lines[0].split()[1]), headers, body
+
+    async def add_searcher(self, service, k, generation):
+        port = self.base + 400 + len(self.searchers)
+        name = "%s%d-%d" % (service, k, generation)
+        await self.control("server?id=%s&service=%s&zone=%s&address=%s" % (
+            name, service, ZONES[k % 3],
+            urllib.parse.quote("127.0.0.1:%d" % port)))
+        self.searchers[name] = service
+
+    async def put_config(self, services):
+        version = len(self.configs) + 1
+        route = {"host": "q.example", "type": "idempotent", "max_attempts": 2,
+                 "timeout_ms": 1500, "target_latency_ms": 300, "priority": 1}
+        routes = [
+            dict(route, name="wide", prefix="/w/", gather=list(services),
+                 top_k=5, min_shard_share=0.6),
+            dict(route, name="one", prefix="/o/", service=SINGLE),
+            dict(route, name="unsafe", prefix="/u/", service=SINGLE,
+                 type="non_idempotent"),
+            dict(route, name="mark", prefix="/v%d/" % version,
+                 service=SINGLE)]
+        await self.control("config", json.dumps({
+            "version": version, "routes": routes,
+            "services": [{"name": name, "max_connections": 60}
+                         for name in (*services, SINGLE)],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}))
+        self.configs.append((time.monotonic(), tuple(services)))
+
+    # -- checks ------------------------------------------------------------
+
+    def violate(self, kind, text):
+        self.violations[kind] += 1
+        if len(self.examples) < 20:
+            self.examples.append("%s: %s" % (kind, text))
+
+    def check_answer(self, request, status, headers, body):
+        self.counts["%d" % status] += 1
+        request["status"] = status
+        if status // 100 != 2:
+            return
+        if request["kind"] != "w":
+            seal = headers.get("x-response-seal", "")
+            if not seal.startswith("seal-%s-" % request["id"]):
+                self.violate("mixed", "%s got seal %r" % (request["id"], seal))
+            if headers.get("x-request-id") != request["id"]:
+                self.violate("mixed", "%s got another id" % request["id"])
+            return
+        self.check_parts(request, headers, body)
+
+    def check_parts(self, request, headers, body):
+        seals = [seal.strip() for seal in
+                 headers.get("x-part-seals", "").split(",") if seal.strip()]
+        missing = int(headers.get("x-missing-parts", "0"))
+        services = []
+        for seal in seals:
+            if not seal.startswith("seal-%s-" % request["id"]):
+                self.violate("mixed", "part %r in %s" % (seal, request["id"]))
+            name = seal[len("seal-%s-" % request["id"]):]
+            services.append(self.searchers.get(name, "?"))
+        if len(set(services)) != len(services):
+            self.violate("mixed", "two parts of one shard: %s" % seals)
+        sets = [set(names) for _, names in self.configs]
+        if not any(set(services) <= names and
+                   len(names) == len(services) + missing for names in sets):
+            self.violate("coverage", "%s and %d missing fit no configuration"
+                         % (services, missing))
+        if len(services) < 0.6 * (len(services) + missing):
+            self.violate("coverage", "%d of %d parts" % (
+                len(services), len(services) + missing))
+        rows = [body[at:at + 16] for at in range(0, len(body), 16)]
+        if rows != sorted(rows, reverse=True) or len(rows) != 5:
+            self.violate("mixed", "%d records, not falling" % len(rows))
+        key = (request["path"], frozenset(services))
+        digest = hashlib.sha256(body).hexdigest()
+        if self.bodies.setdefault(key, digest) != digest:
+            self.violate("mixed", "two merges of the same parts differ")
+
+    def check_runs(self, runs):
+        by_id = collections.Counter(run["id"] for run in runs)
+        for run in runs:
+            request = self.sent.get(run["id"])
+            if not request:
+                self.violate("unasked", "%s ran at %s" % (
+                    run["id"], run["server"]))
+                continue
+            if request["path"] != run["target"]:
+                self.violate("unasked", "%s ran as %s" % (
+                    run["id"], run["target"]))
+            gone = self.left.get(run["server"])
+            if gone and run["at_ms"] / 1000 > gone + DRAIN_S and \
+                    not self.is_disturbed(run["at_ms"] / 1000):
+                self.violate("drain", "%s ran at %s, %.1f s after it left" % (
+                    run["id"], run["server"], run["at_ms"] / 1000 - gone))
+        for name, request in self.sent.items():
+            if request["kind"] != "u":
+                continue
+            if by_id[name] > 1:
+                self.violate("twice", "%s ran %d times" % (name, by_id[name]))
+            if request.get("status") in (429, 503, 408, 421) and by_id[name]:
+                self.violate("refused", "%s had run" % name)
+        self.check_budget(runs)
+
+    def check_budget(self, runs):
+        first = {}
+        events = collections.defaultdict(list)
+        for run in sorted(runs, key=lambda run: run["at_ms"]):
+            key = (run["id"], run["service"])
+            events[run["service"]].append((run["at_ms"] / 1000, key in first))
+            first[key] = True
+        for service, rows in events.items():
+            for start, _ in rows[::5]:
+                def count(at, again):
+                    return sum(at <= t < at + BUDGET_WINDOW_S and r == again
+                               for t, r in rows)
+                most = max(count(start, False),
+                           count(start - BUDGET_WINDOW_S, False),
+                           count(start - BUDGET_WINDOW_S / 2, False))
+                if count(start, True) > BUDGET_RATIO * most + BUDGET_EXTRA:
+                    self.violate("budget", "%s from %.1f s" % (service, start))
+                    break
+
+    def is_disturbed(self, at):
+        return any(start - 4 <= at <= end + 4
+                   for start, end in self.disturbed_until.values())
+
+    # -- callers -----------------------------------------------------------
+
+    async def caller(self, n):
+        rng = random.Random("%d-%d" % (self.options.seed, n))
+        connection = None
+        while not self.stopping:
+            i = rng.randrange(1, self.options.daemons + 1)
+            kind = rng.choice("wwwou")
+            self.next_id += 1
+            request = {"id": "r%d" % self.next_id, "kind": kind,
+                       "path": "/%s/%d" % (kind, rng.randrange(20)),
+                       "at": time.monotonic(), "daemon": i}
+            self.sent[request["id"]] = request
+            if connection and rng.random() < 0.1:
+                connection[1].close()
+                connection = None
+            connection = await self.ask(request, connection)
+            await asyncio.sleep(rng.expovariate(1 / 0.05))
+        if connection:
+            connection[1].close()
+
+    async def ask(self, request, connection):
+        fresh = connection is None
+        try:
+            if fresh:
+                connection = await asyncio.wait_for(
+                    asyncio.open_connection(
+                        "127.0.0.1", self.port(request["daemon"], 1)), 1) + (
+                            request["daemon"],)
+            reader, writer, request["daemon"] = connection
+            body = "order" if request["kind"] == "u" else ""
+            await self.send(writer, "POST" if body else "GET",
+                            request["path"],
+                            {"X-Request-Id": request["id"],
+                             "X-Deadline-Ms": DEADLINE_MS}, body)
+            status, headers, body = await asyncio.wait_for(
+                self.read(reader), DEADLINE_MS / 1000 + 1)
+            self.check_answer(request, status, headers, body)
+            if headers.get("connection") == "close":
+                writer.close()
+                return None
+            return connection
+        except asyncio.TimeoutError:
+            self.counts["no answer"] += 1
+            self.note_late(request)
+        except (OSError, asyncio.IncompleteReadError):
+            self.counts["cut"] += 1
+            self.note_cut(request, fresh)
+        if connection:
+            connection[1].close()
+        return None
+
+    def note_late(self, request):
+        if not self.was_disturbed(request):
+            self.violate("late", "%s had no answer in time" % request["id"])
+
+    def note_cut(self, request, fresh):
+        # A kept connection may end just as a request is sent on it.
+        if fresh and not self.was_disturbed(request):
+            self.violate("lost", "%s was cut off by d%d" % (
+                request["id"], request["daemon"]))
+
+    def was_disturbed(self, request):
+        name = "d%d" % request["daemon"]
+        start, end = self.disturbed_until.get(name, (0, 0))
+        return start - 3 <= request["at"] <= end + 1
+
+    # -- faults ------------------------------------------------------------
+
+    def disturb(self, name, seconds):
+        now = time.monotonic()
+        self.disturbed_until[name] = (now, now + seconds)
+
+    async def fault_kill(self):
+        i = self.random.randrange(1, self.options.daemons + 1)
+        async with self.restarting[i]:
+            self.disturb("d%d" % i, 2.5)
+            self.processes["d%d" % i].kill()
+            self.processes["d%d" % i].wait()
+            await asyncio.sleep(self.random.uniform(0.2, 1))
+            self.start_daemon(i)
+
+    async def fault_stop(self):
+        """A planned stop: the balancer's callers are told by 'ready' only."""
+        i = self.random.randrange(1, self.options.daemons + 1)
+        async with self.restarting[i]:
+            await self.stop_daemon(i)
+            self.start_daemon(i)
+
+    async def stop_daemon(self, i):
+        process = self.processes["d%d" % i]
+        started = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        # New connections are refused near its end; that is no lost request.
+        self.disturb("d%d" % i, GRACE_S + 2)
+        while process.poll() is None:
+            await asyncio.sleep(0.05)
+            if time.monotonic() - started > GRACE_S:
+                self.violate("stop", "d%d still runs %.1f s after SIGTERM" % (
+                    i, GRACE_S))
+                process.kill()
+                process.wait()
+        if process.returncode != 0:
+            self.violate("stop", "d%d ended with %d" % (i, process.returncode))
+
+    async def fault_pause(self):
+        i = self.random.randrange(1, self.options.daemons + 1)
+        seconds = self.random.uniform(0.5, 2.5)
+        self.disturb("d%d" % i, seconds + 1)
+        self.processes["d%d" % i].send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.processes["d%d" % i].send_signal(signal.SIGCONT)
+
+    async def fault_hangup(self):
+        for i in range(1, self.options.daemons + 1):
+            if self.processes["d%d" % i].poll() is None:
+                self.processes["d%d" % i].send_signal(signal.SIGHUP)
+
+    async def fault_link(self):
+        proxy = self.random.choice(list(self.proxies.values()))
+        proxy.mode = self.random.choice(
+            ["delay", "silent", "cut-there", "cut-back", "refuse"])
+        self.disturb("links", 4)
+        if self.random.random() < 0.5:
+            proxy.reset()
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        proxy.mode = "pass"
+
+    async def fault_store(self):
+        name = self.random.choice(["down", "lose", "compact"])
+        self.disturb("store", 4)
+        await self.control("store?name=%s&value=1" % name)
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        if name != "compact":
+            await self.control("store?name=%s&value=0" % name)
+
+    async def fault_searcher(self):
+        name = self.random.choice(list(self.searchers))
+        fault, value = self.random.choice(
+            [("pause_ms", 400), ("shed", 60), ("error", 50), ("lose", 30),
+             ("foreign", 30)])
+        if name in self.left:
+            return
+        await self.control("fault?id=%s&name=%s&value=%d" % (
+            name, fault, value))
+        await asyncio.sleep(self.random.uniform(1, 3))
+        await self.control("fault?id=%s&name=%s&value=0" % (name, fault))
+
+    async def fault_release(self):
+        """A searcher is replaced: the new one starts, the old one drains."""
+        name = self.random.choice(list(self.searchers))
+        if name in self.left:
+            return
+        service = self.searchers[name]
+        await self.add_searcher(service, self.random.randrange(3),
+                                len(self.searchers))
+        await self.control("entry?id=%s&state=draining" % name)
+        self.left[name] = time.monotonic()
+
+    async def fault_config(self):
+        await self.put_config(SHARDS[:self.random.choice([2, 3])])
+        await self.check_config(len(self.configs))
+
+    async def check_config(self, version):
+        """Every daemon that nothing disturbs has it within the bound."""
+        acked = self.configs[version - 1][0]
+        await asyncio.sleep(max(0, acked + CONFIG_APPLY_S - time.monotonic()))
+        if self.is_disturbed(time.monotonic()):
+            return
+        for i in range(1, self.options.daemons + 1):
+            if len(self.configs) != version or self.stopping:
+                return
+            self.next_id += 1
+            name = "r%d" % self.next_id
+            path = "/v%d/x" % version
+            self.sent[name] = {"id": name, "kind": "v", "path": path,
+                               "at": time.monotonic(), "daemon": i}
+            try:
+                status, _, _ = await self.http(
+                    self.port(i, 1), "GET", path,
+                    {"X-Request-Id": name, "X-Deadline-Ms": DEADLINE_MS})
+            except (OSError, asyncio.TimeoutError,
+                    asyncio.IncompleteReadError):
+                continue
+            if status == 404:
+                self.violate("config", "d%d lacks version %d" % (i, version))
+
+    def note_failure(self, task):
+        if task.exception():
+            self.violate("soak", repr(task.exception()))
+
+    async def faults(self):
+        kinds = [self.fault_kill, self.fault_stop, self.fault_pause,
+                 self.fault_hangup, self.fault_link, self.fault_store,
+                 self.fault_searcher, self.fault_searcher, self.fault_release,
+                 self.fault_config]
+        tasks = set()
+        while not self.stopping:
+            task = asyncio.create_task(self.random.choice(kinds)())
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            task.add_done_callback(self.note_failure)
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        await asyncio.gather(*tasks)
+
+    # -- the run -----------------------------------------------------------
+
+    async def served(self, i):
+        try:
+            status, _, _ = await self.http(
+                self.port(i, 1), "GET", "/w/ready",
+                {"X-Request-Id": "ready", "X-Deadline-Ms": 1000})
+            return status == 200
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False
+
+    async def wait_served(self, seconds):
+        end = time.monotonic() + seconds
+        waiting = set(range(1, self.options.daemons + 1))
+        self.sent["ready"] = {"id": "ready", "kind": "w", "path": "/w/ready",
+                              "at": 0, "daemon": 0}
+        while waiting and time.monotonic() < end:
+            waiting = {i for i in waiting if not await self.served(i)}
+            await asyncio.sleep(0.1)
+        return not waiting
+
+    async def set_up(self):
+        self.bodies = {}
+        self.spawn("standin", [self.options.bin + "/lr-standin-routed",
+                               "--store=127.0.0.1:%d" % self.base,
+                               "--seconds=600"])
+        await asyncio.sleep(0.3)
+        for i in range(1, self.options.daemons + 1):
+            self.proxies["peer%d" % i] = Proxy(self.port(i, 4),
+                                               self.port(i, 3))
+            self.proxies["store%d" % i] = Proxy(self.port(i, 5), self.base)
+        for proxy in self.proxies.values():
+            await proxy.start()
+        for service in (*SHARDS, SINGLE):
+            for k in range(3):
+                await self.add_searcher(service, k, 0)
+        await self.put_config(SHARDS)
+        for i in range(1, self.options.daemons + 1):
+            self.start_daemon(i)
+        if not await self.wait_served(10):
+            raise RuntimeError("the daemons do not serve at the start")
+
+    def plant(self, runs):
+        """Forges what callers or searchers saw, to show that it is noticed."""
+        kind = self.options.plant
+        ran = [run for run in runs if run["target"].startswith("/u/")]
+        wide = next(request for request in self.sent.values()
+                    if request["kind"] == "w" and request["id"] != "ready")
+        if kind == "refused":
+            self.sent[ran[0]["id"]]["status"] = 503
+        elif kind == "twice":
+            runs.append(ran[0])
+        elif kind == "unasked":
+            runs.append(dict(ran[0], id="nobody"))
+        elif kind == "drain":
+            self.disturbed_until.clear()
+            self.left[ran[0]["server"]] = 1.0
+        elif kind == "budget":
+            runs += [ran[0]] * 2000
+        elif kind == "mixed":
+            self.check_answer(wide, 200, {
+                "x-part-seals": "seal-other-a0-0, seal-other-b0-0",
+                "x-missing-parts": "1"}, bytes(80))
+        elif kind == "coverage":
+            self.check_answer(wide, 200, {
+                "x-part-seals": "seal-%s-a0-0" % wide["id"],
+                "x-missing-parts": "0"}, bytes(80))
+
+    async def run(self):
+        await self.set_up()
+        callers = [asyncio.create_task(self.caller(n))
+                   for n in range(self.options.callers)]
+        faults = asyncio.create_task(self.faults())
+        await asyncio.sleep(self.options.seconds)
+        self.stopping = True
+        await faults
+        await asyncio.gather(*callers)
+        for proxy in self.proxies.values():
+            proxy.mode = "pass"
+        if not await self.wait_served(RECOVERY_S):
+            self.violate("recover", "not served %.0f s after the last fault"
+                         % RECOVERY_S)
+        runs = await self.runs()
+        if self.options.plant:
+            self.plant(runs)
+        self.check_runs(runs)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bin", required=True)
+    parser.add_argument("--logs", default="/tmp")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--port", type=int, default=29000)
+    parser.add_argument("--plant", choices=[
+        "refused", "twice", "unasked", "drain", "budget", "mixed",
+        "coverage"], help="forge one violation, to see it noticed")
+    soak = Soak(parser.parse_args())
+    try:
+        asyncio.run(soak.run())
+    finally:
+        soak.kill_all()
+    print("seed=%d requests=%d %s violations=%d %s" % (
+        soak.options.seed, len(soak.sent),
+        " ".join("%s=%d" % item for item in sorted(soak.counts.items())),
+        sum(soak.violations.values()), dict(soak.violations)))
+    for example in soak.examples:
+        print("  " + example)
+    return 1 if soak.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
