--- a/liblavenderrail/budget.c
+++ b/liblavenderrail/budget.c
@@ -66,10 +66,9 @@
     return MAX(in_window, MAX(before, half_before));
 }
 
-/* The fewest repeats that any window still allows; *most is set to what that
- * window allows in all. */
+/* The fewest repeats that any window still allows. */
 static double
-room(LrBudget *budget, const LrBudgetRule *rule, LrTime now, double *most)
+room(LrBudget *budget, const LrBudgetRule *rule, LrTime now)
 {
     double firsts[RING + 1];
     double repeats[RING + 1];
@@ -79,11 +78,7 @@
     double least = G_MAXDOUBLE;
     for (size_t start = WINDOW; start < RING; start++) {
         double allowed = rule->ratio * firsts_for(firsts, start) + rule->extra;
-        double left = allowed - (repeats[RING] - repeats[start]);
-        if (left < least) {
-            least = left;
-            *most = allowed;
-        }
+        least = MIN(least, allowed - (repeats[RING] - repeats[start]));
     }
     return least;
 }
@@ -91,18 +86,9 @@
 bool
 LrBudget_TakeRepeat(LrBudget *budget, const LrBudgetRule *rule, LrTime now)
 {
-    double most;
-    if (room(budget, rule, now, &most) < 1) {
+    if (room(budget, rule, now) < 1) {
         return false;
     }
     budget->repeats[current(budget)]++;
     return true;
 }
-
-double
-LrBudget_Left(LrBudget *budget, const LrBudgetRule *rule, LrTime now)
-{
-    double most;
-    double left = room(budget, rule, now, &most);
-    return most > 0 ? CLAMP(left / most, 0, 1) : 0;
-}
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -27,6 +27,8 @@
 /* A request that may not run twice is not risked on a connection that may
  * have been dropped unnoticed. */
 #define SAFE_IDLE (200 * LR_MILLISECOND)
+/* How long a connection to a target that is left to others is kept idle. */
+#define SPARE_KEEP (500 * LR_MILLISECOND)
 /* Callers' limits until a configuration names them. */
 #define FIRST_RECEIVE_TIMEOUT (3 * LR_SECOND)
 #define FIRST_IDLE_TIMEOUT (15 * LR_SECOND)
@@ -347,6 +349,7 @@
         .body = routed->body,
         .bodyless = routed->bodyless,
         .deadline = action->deadline,
+        .keep = action->target->spare ? SPARE_KEEP : LR_NEVER,
         .max_idle = routed->route->idempotent ? LR_NEVER : SAFE_IDLE,
     };
     attempt->call = LrUpstream_Send(gateway->upstream, &spec);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -386,8 +386,6 @@
 /* Counts a repeat; false, and not counted, when it would break the rule. */
 bool LrBudget_TakeRepeat(LrBudget *budget, const LrBudgetRule *rule,
                          LrTime now);
-/* Share of the allowed repeats that is left, from 0 to 1. */
-double LrBudget_Left(LrBudget *budget, const LrBudgetRule *rule, LrTime now);
 
 /* limit.c: concurrency limit of one target, found from its answers. */
 typedef struct {
@@ -438,10 +436,6 @@
     bool present;
     double running;
     double queued;
-    /* Requests that the target runs at once; 0 when not said. */
-    double slots;
-    /* How long work takes now, 1 for as usual; 0 when not said. */
-    double slowness;
 } LrLoadReport;
 
 struct LrTarget {
--- a/liblavenderrail/placement.c
+++ b/liblavenderrail/placement.c
@@ -12,7 +12,7 @@
 #define REMOTE_SHARE 0.2
 /* Added for a target whose connections are left to other daemons, in typical
  * latencies: it is used when the others stand still. */
-#define SPARE_MEDIANS 1.0
+#define SPARE_MEDIANS 0.5
 /* A target that has just started is slower by about this factor. */
 #define COLD_FACTOR 1.5
 
--- a/liblavenderrail/subset.c
+++ b/liblavenderrail/subset.c
@@ -15,12 +15,12 @@
  * replacements that overlap with those they replace. */
 #define GIVEN_SHARE 0.8
 
-/* Connections that a daemon wants to a target: one in use, and at times a
- * second one while a withdrawn attempt lingers. */
-#define WANTED_LINKS 1.5
+/* Connections that a daemon may hold at a target for each one that it uses:
+ * one that lingers, and that of a former process which lost power and whose
+ * end the target has not noticed yet. */
+#define WANTED_LINKS 2.5
 
-/* A hedge needs a second replica. */
-enum { BUNDLE = 16, MIN_DAEMONS = 2, MIN_REPLICAS = 2 };
+enum { BUNDLE = 16, MIN_DAEMONS = 2, MIN_REPLICAS = 1 };
 
 size_t
 LrSubset_Size(uint32_t connections, uint32_t links, size_t n_daemons)
--- a/liblavenderrail/upstream.c
+++ b/liblavenderrail/upstream.c
@@ -65,6 +65,7 @@
     bool spoilt;
     LrTime idle_since;
     LrTime idle_limit;
+    LrTime keep;
     LrTimer timer;
     TAILQ_ENTRY(Conn) of_pool;
     TAILQ_ENTRY(Conn) of_upstream;
@@ -188,7 +189,7 @@
 keep_conn(Conn *conn)
 {
     LrTime now = LrLoop_Now();
-    conn->idle_limit = idle_limit(conn->response);
+    conn->idle_limit = MIN(idle_limit(conn->response), conn->keep);
     conn->state = CONN_IDLE;
     conn->idle_since = now;
     LrMessage_Reset(conn->response);
@@ -548,6 +549,7 @@
         return call;
     }
     conn->call = call;
+    conn->keep = spec->keep;
     LrLoopTimers_Set(upstream->config.timers, &call->timer, spec->deadline);
     if (reused) {
         call->sending = true;
--- a/liblavenderrail/upstream.h
+++ b/liblavenderrail/upstream.h
@@ -43,6 +43,8 @@
     LrTime deadline;
     /* Kept connections that were idle for longer are not used. */
     LrTime max_idle;
+    /* How long the connection may be kept idle afterwards, at the most. */
+    LrTime keep;
 } LrUpstreamSpec;
 
 typedef struct {
--- a/tests/test_budget.cc
+++ b/tests/test_budget.cc
@@ -92,16 +92,14 @@
     EXPECT_GE((double)repeats, 0.8 * RULE.ratio * firsts);
 }
 
-TEST(Budget, LeftFallsWithUse)
+TEST(Budget, TheFixedPartIsSpentOnceAWindow)
 {
     LrBudget budget = {};
     LrTime now = LR_SECOND;
-    EXPECT_DOUBLE_EQ(LrBudget_Left(&budget, &RULE, now), 1);
     for (int i = 0; i < 10; i++) {
         EXPECT_TRUE(LrBudget_TakeRepeat(&budget, &RULE, now));
     }
     EXPECT_FALSE(LrBudget_TakeRepeat(&budget, &RULE, now));
-    EXPECT_DOUBLE_EQ(LrBudget_Left(&budget, &RULE, now), 0);
-    now += 2 * RULE.window;
-    EXPECT_DOUBLE_EQ(LrBudget_Left(&budget, &RULE, now), 1);
+    EXPECT_FALSE(LrBudget_TakeRepeat(&budget, &RULE, now + RULE.window / 2));
+    EXPECT_TRUE(LrBudget_TakeRepeat(&budget, &RULE, now + 2 * RULE.window));
 }
--- a/tests/test_subset.cc
+++ b/tests/test_subset.cc
@@ -99,3 +99,35 @@
     EXPECT_GT(kept, 600u);
     EXPECT_LE(moved, 8u);
 }
+
+// Few daemons use all replicas of a group; many leave most connections of a
+// target to others, since a daemon that lost power keeps its own for seconds.
+TEST(Subset, ManyDaemonsShareTheConnectionsOfATarget)
+{
+    EXPECT_EQ(LrSubset_Replicas(30, 3, 0), 3u) << "the fleet is not known";
+    EXPECT_EQ(LrSubset_Replicas(30, 3, 6), 3u);
+    EXPECT_EQ(LrSubset_Replicas(30, 3, 9), 3u);
+    EXPECT_EQ(LrSubset_Replicas(62, 3, 61), 1u);
+    EXPECT_EQ(LrSubset_Replicas(62, 1, 1000), 1u);
+}
+
+TEST(Subset, RanksSpreadDaemonsEvenlyOverReplicas)
+{
+    const char *const targets[] = {"t1", "t2", "t3"};
+    int firsts[3] = {};
+    for (int i = 0; i < 3000; i++) {
+        std::string daemon = "daemon-" + std::to_string(i);
+        LrStr name = {daemon.data(), daemon.size()};
+        size_t best = 0;
+        for (size_t j = 1; j < 3; j++) {
+            if (LrSubset_Rank(name, LrStr_FromC(targets[j])) <
+                LrSubset_Rank(name, LrStr_FromC(targets[best]))) {
+                best = j;
+            }
+        }
+        firsts[best]++;
+    }
+    for (int count : firsts) {
+        EXPECT_NEAR(count, 1000, 150);
+    }
+}
