socket: plumbing: one place for listening, connecting and keep-alive

peer, callers and upstream each parsed addresses and opened sockets; peer links had no probes, so that one which goes silent without a reset would have been written to for ever.

--- a/liblavenderrail/callers.c
+++ b/liblavenderrail/callers.c
@@ -1,16 +1,15 @@
 /* Connections of callers, on a libev loop. */
 #include "callers.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <ev.h>
 
+#include "socket.h"
+
 enum {
     BACKLOG = 1024,
     ACCEPTS_A_TURN = 64,
@@ -369,8 +368,7 @@
 static void
 add_conn(LrCallers *callers, int fd)
 {
-    int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    LrSocket_SendAtOnce(fd);
     Conn *conn = g_new0(Conn, 1);
     conn->callers = callers;
     conn->fd = fd;
@@ -410,37 +408,10 @@
     }
 }
 
-static int
-listen_on(LrStr address, GError **error)
-{
-    char host[INET_ADDRSTRLEN];
-    struct sockaddr_in at = {.sin_family = AF_INET};
-    uint16_t port;
-    int on = 1;
-    if (!LrStr_ToAddress(address, host, sizeof(host), &port) ||
-        inet_pton(AF_INET, host, &at.sin_addr) != 1) {
-        g_set_error(error, LR_ERROR, LR_ERROR_ADDRESS,
-                    "no IPv4 address: '%.*s'", (int)address.len, address.ptr);
-        return -1;
-    }
-    at.sin_port = htons(port);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (bind(fd, (struct sockaddr *)&at, sizeof(at)) < 0 ||
-        listen(fd, BACKLOG) < 0) {
-        g_set_error(error, LR_ERROR, LR_ERROR_SOCKET,
-                    "cannot listen on %.*s: %s", (int)address.len, address.ptr,
-                    g_strerror(errno));
-        close(fd);
-        return -1;
-    }
-    return fd;
-}
-
 LrCallers *
 LrCallers_New(const LrCallersConfig *config, GError **error)
 {
-    int listener = listen_on(config->address, error);
+    int listener = LrSocket_Listen(config->address, BACKLOG, error);
     if (listener < 0) {
         return NULL;
     }
--- a/liblavenderrail/client.c
+++ b/liblavenderrail/client.c
@@ -6,14 +6,13 @@
  * a body twice, and a body that was never read was never sent. */
 #include "lavenderrail.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <curl/curl.h>
 #include <ev.h>
 
+#include "socket.h"
+
 enum { MAX_IDLE_HANDLES = 512, KEPT_CONNECTIONS = 4096 };
 
 typedef struct {
@@ -310,26 +309,12 @@
     curl_easy_setopt(easy, CURLOPT_READDATA, transfer);
 }
 
-/* A connection that goes silent without a reset is noticed in about three
- * seconds, also while a long call waits on it. */
 static int
 set_socket_options(void *data, curl_socket_t fd, curlsocktype purpose)
 {
     (void)data;
     (void)purpose;
-    const struct {
-        int level;
-        int name;
-        int value;
-    } options[] = {
-        {SOL_SOCKET, SO_KEEPALIVE, 1},         {IPPROTO_TCP, TCP_KEEPIDLE, 1},
-        {IPPROTO_TCP, TCP_KEEPINTVL, 1},       {IPPROTO_TCP, TCP_KEEPCNT, 2},
-        {IPPROTO_TCP, TCP_USER_TIMEOUT, 3000},
-    };
-    for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
-        setsockopt(fd, options[i].level, options[i].name, &options[i].value,
-                   sizeof(options[i].value));
-    }
+    LrSocket_NoticeSilence(fd);
     return CURL_SOCKOPT_OK;
 }
 
--- a/liblavenderrail/peer.c
+++ b/liblavenderrail/peer.c
@@ -5,13 +5,14 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <ev.h>
 
+#include "socket.h"
+
 enum {
     PROTOCOL = 1,
     HEADER_BYTES = 4,
@@ -214,8 +215,8 @@
 static Link *
 new_link(LrPeers *peers, int fd, LrStr address)
 {
-    int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    LrSocket_SendAtOnce(fd);
+    LrSocket_NoticeSilence(fd);
     Link *link = g_new0(Link, 1);
     link->peers = peers;
     link->fd = fd;
@@ -237,37 +238,15 @@
     return link;
 }
 
-static bool
-parse_address(LrStr address, struct sockaddr_in *out)
-{
-    char host[INET_ADDRSTRLEN];
-    uint16_t port;
-    if (!LrStr_ToAddress(address, host, sizeof(host), &port)) {
-        return false;
-    }
-    *out =
-        (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons(port)};
-    return inet_pton(AF_INET, host, &out->sin_addr) == 1;
-}
-
 static Link *
 open_link(LrPeers *peers, LrStr address)
 {
-    struct sockaddr_in to;
-    if (!parse_address(address, &to) || peers->n_links >= MAX_LINKS) {
-        return NULL;
-    }
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int fd = peers->n_links < MAX_LINKS ? LrSocket_Connect(address) : -1;
     if (fd < 0) {
         return NULL;
     }
-    int result = connect(fd, (struct sockaddr *)&to, sizeof(to));
-    if (result < 0 && errno != EINPROGRESS) {
-        close(fd);
-        return NULL;
-    }
     Link *link = new_link(peers, fd, address);
-    link->connecting = result < 0;
+    link->connecting = true;
     return link;
 }
 
@@ -330,33 +309,10 @@
     }
 }
 
-static int
-listen_on(LrStr address, GError **error)
-{
-    struct sockaddr_in at;
-    int on = 1;
-    if (!parse_address(address, &at)) {
-        g_set_error(error, LR_ERROR, LR_ERROR_ADDRESS,
-                    "no IPv4 address: '%.*s'", (int)address.len, address.ptr);
-        return -1;
-    }
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (bind(fd, (struct sockaddr *)&at, sizeof(at)) < 0 ||
-        listen(fd, BACKLOG) < 0) {
-        g_set_error(error, LR_ERROR, LR_ERROR_SOCKET,
-                    "cannot listen on %.*s: %s", (int)address.len, address.ptr,
-                    g_strerror(errno));
-        close(fd);
-        return -1;
-    }
-    return fd;
-}
-
 LrPeers *
 LrPeers_New(const LrPeersConfig *config, GError **error)
 {
-    int listener = listen_on(config->listen, error);
+    int listener = LrSocket_Listen(config->listen, BACKLOG, error);
     if (listener < 0) {
         return NULL;
     }
--- a/liblavenderrail/upstream.c
+++ b/liblavenderrail/upstream.c
@@ -1,24 +1,16 @@
 /* Connections to targets, on a libev loop. */
 #include "upstream.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <ev.h>
 
-enum {
-    READ_CHUNK = 65536,
-    /* Probes of an idle connection, in seconds and number: a connection that
-     * has gone silent without a reset is noticed in about three seconds. */
-    KEEPALIVE_IDLE_S = 2,
-    KEEPALIVE_INTERVAL_S = 1,
-    KEEPALIVE_COUNT = 2,
-};
+#include "socket.h"
+
+enum { READ_CHUNK = 65536 };
 
 /* A kept connection is given up so much before the target closes it. */
 #define IDLE_MARGIN (300 * LR_MILLISECOND)
@@ -417,60 +409,18 @@
     end_call(conn, sent ? LR_UPSTREAM_TIMEOUT : LR_UPSTREAM_NOT_SENT);
 }
 
-static void
-set_options(int fd)
-{
-    const struct {
-        int level;
-        int name;
-        int value;
-    } options[] = {
-        {IPPROTO_TCP, TCP_NODELAY, 1},
-        {SOL_SOCKET, SO_KEEPALIVE, 1},
-        {IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S},
-        {IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S},
-        {IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT},
-    };
-    for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
-        setsockopt(fd, options[i].level, options[i].name, &options[i].value,
-                   sizeof(options[i].value));
-    }
-}
-
-static int
-open_socket(LrStr address)
-{
-    char host[INET_ADDRSTRLEN];
-    struct sockaddr_in to = {.sin_family = AF_INET};
-    uint16_t port;
-    if (!LrStr_ToAddress(address, host, sizeof(host), &port) ||
-        inet_pton(AF_INET, host, &to.sin_addr) != 1) {
-        return -1;
-    }
-    to.sin_port = htons(port);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        return -1;
-    }
-    set_options(fd);
-    if (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0 &&
-        errno != EINPROGRESS) {
-        close(fd);
-        return -1;
-    }
-    return fd;
-}
-
 static Conn *
 open_conn(LrUpstream *upstream, Pool *pool, LrStr address)
 {
     if (upstream->n_open >= upstream->config.max_connections) {
         return NULL;
     }
-    int fd = open_socket(address);
+    int fd = LrSocket_Connect(address);
     if (fd < 0) {
         return NULL;
     }
+    LrSocket_SendAtOnce(fd);
+    LrSocket_NoticeSilence(fd);
     Conn *conn = g_new0(Conn, 1);
     conn->upstream = upstream;
     conn->pool = pool;
