--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -378,8 +378,6 @@
     int64_t absence_hold_ms;
     /* longest time from the request to stop to the end of the process */
     int64_t stop_limit_ms;
-    /* memory that the process may use; 0 for no bound */
-    int64_t memory_mb;
     /* file descriptors that the process may use */
     int64_t max_files;
     /* log lines about single requests in a second */
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -26,7 +26,8 @@
 
 class Routing : public ::testing::Test {
   protected:
-    void SetUp() override
+    void
+    SetUp() override
     {
         store = LrStore_New();
         faults = LrFaults_New();
@@ -34,30 +35,33 @@
         LrStore_Set(store, LR_ROUTING_VALUE, 3, LrStr_FromC(CONFIG));
     }
 
-    void TearDown() override
+    void
+    TearDown() override
     {
         LrCatalogue_Unref(catalogue);
         LrStore_Free(store);
         LrFaults_Free(faults);
     }
 
-    void build()
+    void
+    build()
     {
         LrCatalogue_Unref(catalogue);
         catalogue = LrRouting_Build(store, faults);
     }
 
-    std::string lookup(const char *host, const char *path)
+    std::string
+    lookup(const char *host, const char *path)
     {
-        const LrRoute *route =
-            LrRoutes_Lookup(LrRouting_Routes(catalogue), LrStr_FromC(host),
-                            LrStr_FromC(path));
-        return route ? std::string(route->spec->name.ptr,
-                                   route->spec->name.len)
-                     : "none";
+        const LrRoute *route = LrRoutes_Lookup(
+            LrRouting_Routes(catalogue), LrStr_FromC(host), LrStr_FromC(path));
+        return route
+                   ? std::string(route->spec->name.ptr, route->spec->name.len)
+                   : "none";
     }
 
-    void add_target(const char *born)
+    void
+    add_target(const char *born)
     {
         std::string text = TARGET;
         text.replace(text.find("%BORN%"), 6, born);
@@ -65,7 +69,8 @@
                     {text.data(), text.size()});
     }
 
-    const LrTargetSpec *first_target()
+    const LrTargetSpec *
+    first_target()
     {
         const LrGroupSpec *group =
             &catalogue->spec.services[0].maps[0].groups[0];
