cli: start: a stop request during the start waits for the loop

It is now blocked from the first line of main until then; RoutedTest.AStopDuringTheStartIsAPlannedStop failed first.

--- a/cli/lavenderraild.c
+++ b/cli/lavenderraild.c
@@ -134,6 +134,18 @@
     return NULL;
 }
 
+/* A request to stop that comes during the start waits until the loop can
+ * carry it out. */
+static void
+mask_stop_requests(int how)
+{
+    sigset_t requests;
+    sigemptyset(&requests);
+    sigaddset(&requests, SIGTERM);
+    sigaddset(&requests, SIGINT);
+    sigprocmask(how, &requests, NULL);
+}
+
 static void
 watch_file(struct ev_loop *loop, Program *program)
 {
@@ -172,6 +184,7 @@
         watch_signal(loop, &program.interrupt, SIGINT, on_stop, &program);
         watch_signal(loop, &program.dump, SIGUSR1, on_dump, &program);
         watch_file(loop, &program);
+        mask_stop_requests(SIG_UNBLOCK);
         ev_run(loop, 0);
         g_free(program.file_text);
         LrDaemon_Free(program.daemon);
@@ -183,6 +196,7 @@
 int
 main(int argc, char **argv)
 {
+    mask_stop_requests(SIG_BLOCK);
     LrSettings settings;
     LrArena *arena = LrArena_New();
     int status;
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include <sys/stat.h>
+
 class RoutedTest : public testing::Test {
   protected:
     static constexpr int BASE = 28100;
@@ -297,3 +299,24 @@
     EXPECT_EQ(answer.header("Connection"), "close");
     EXPECT_EQ(fleet->daemons[1]->wait(), 0);
 }
+
+// Fails when the default action ends a process that is still starting.
+TEST_F(RoutedTest, AStopDuringTheStartIsAPlannedStop)
+{
+    fleet->daemons[1].reset();
+    std::string path = "/tmp/lr-start-" + std::to_string(getpid());
+    ASSERT_EQ(mkfifo(path.c_str(), 0600), 0);
+    Process daemon({LR_BIN "/lavenderraild", "--settings", path});
+    // Opens when the daemon reads its settings; it waits for them.
+    std::ofstream settings(path);
+    daemon.signal(SIGTERM);
+    settings << "contract=platform\nname=h1\nzone=z1\nlisten="
+             << fleet->address(11)
+             << "\noperator-listen=" << fleet->address(12)
+             << "\npeer-listen=" << fleet->address(13)
+             << "\nseeds=" << fleet->address(23) << "\nconfig-url=http://"
+             << fleet->address(0) << "\ndrain-wait-ms=100\n";
+    settings.close();
+    EXPECT_EQ(daemon.wait(), 0);
+    unlink(path.c_str());
+}
