gather, attempt, standin: reading: one rule of coverage, one look-up, one loop

Admission worked out the shards that an answer needs anew, without the allowance for rounding that gather makes, and refused 11 of 20 at a coverage of 0.55: it now calls LrGather_Needed (Repeat.JustEnoughShardsAreNotRefused failed first).

--- a/cli/standin.c
+++ b/cli/standin.c
@@ -1,7 +1,7 @@
 /* lr-standin: targets, configuration service and host list on loopback. */
 #include "standin.h"
+#include "standin_loop.h"
 
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -74,38 +74,6 @@
     return *error == NULL;
 }
 
-static void
-on_end(struct ev_loop *loop, ev_signal *watcher, int events)
-{
-    (void)watcher;
-    (void)events;
-    ev_break(loop, EVBREAK_ALL);
-}
-
-static void
-on_time_over(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    (void)timer;
-    (void)events;
-    ev_break(loop, EVBREAK_ALL);
-}
-
-static void
-run_loop(struct ev_loop *loop, int seconds)
-{
-    ev_signal term;
-    ev_signal interrupt;
-    ev_timer limit;
-    signal(SIGPIPE, SIG_IGN);
-    ev_signal_init(&term, on_end, SIGTERM);
-    ev_signal_start(loop, &term);
-    ev_signal_init(&interrupt, on_end, SIGINT);
-    ev_signal_start(loop, &interrupt);
-    ev_timer_init(&limit, on_time_over, seconds, 0);
-    ev_timer_start(loop, &limit);
-    ev_run(loop, 0);
-}
-
 static char **
 daemon_list(const Options *options)
 {
@@ -154,7 +122,7 @@
         printf("lr-standin: %u targets, platform at http://%s\n",
                g_hash_table_size(standin.targets), options->platform->sval[0]);
         fflush(stdout);
-        run_loop(standin.loop, options->seconds->ival[0]);
+        StandinLoop_Run(standin.loop, options->seconds->ival[0]);
         Platform_Free(standin.platform);
     }
     g_hash_table_unref(standin.targets);
--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -10,7 +10,6 @@
  *   POST /control/fault?id&name&value
  *   POST /control/store?name&value down, compact or lose
  *   GET  /control/runs             what the searchers ran, oldest first */
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -20,6 +19,7 @@
 
 #include "callers.h"
 #include "merge.h"
+#include "standin_loop.h"
 
 enum {
     OPTION_MAX_ERRORS = 20,
@@ -557,22 +557,6 @@
     }
 }
 
-static void
-on_end(struct ev_loop *loop, ev_signal *watcher, int events)
-{
-    (void)watcher;
-    (void)events;
-    ev_break(loop, EVBREAK_ALL);
-}
-
-static void
-on_time_over(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    (void)timer;
-    (void)events;
-    ev_break(loop, EVBREAK_ALL);
-}
-
 static void
 free_standin(Standin *standin)
 {
@@ -615,16 +599,9 @@
         g_error_free(error);
         return EXIT_FAILURE;
     }
-    ev_signal term;
-    ev_timer limit;
-    signal(SIGPIPE, SIG_IGN);
-    ev_signal_init(&term, on_end, SIGTERM);
-    ev_signal_start(standin.loop, &term);
-    ev_timer_init(&limit, on_time_over, seconds, 0);
-    ev_timer_start(standin.loop, &limit);
     printf("lr-standin-routed: store at http://%s\n", address);
     fflush(stdout);
-    ev_run(standin.loop, 0);
+    StandinLoop_Run(standin.loop, seconds);
     free_standin(&standin);
     return EXIT_SUCCESS;
 }
--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -49,8 +49,7 @@
     for (size_t i = 0; i < map->n_groups; i++) {
         n_served += LrRouter_IsServed(&map->groups[i], now);
     }
-    return n_served > 0 &&
-           (double)n_served >= spec->min_coverage * (double)map->n_groups;
+    return n_served >= LrGather_Needed(spec, map->n_groups);
 }
 
 LrReason
--- a/liblavenderrail/attempt.c
+++ b/liblavenderrail/attempt.c
@@ -42,15 +42,29 @@
     return attempt;
 }
 
-LrAttempt *
-LrAttempt_Lookup(LrEngine *engine, uint64_t id)
+static LrAttempt *
+attempt_of(const LrEngine *engine, uint64_t id)
 {
     guint place = (guint)(id & PLACE_MASK);
     if (place >= engine->attempts->len) {
         return NULL;
     }
     LrAttempt *attempt = engine->attempts->pdata[place];
-    return attempt->id == id && attempt->part ? attempt : NULL;
+    return attempt->id == id ? attempt : NULL;
+}
+
+LrAttempt *
+LrAttempt_Lookup(LrEngine *engine, uint64_t id)
+{
+    LrAttempt *attempt = attempt_of(engine, id);
+    return attempt && attempt->part ? attempt : NULL;
+}
+
+LrAttempt *
+LrAttempt_LookupWithdrawn(LrEngine *engine, uint64_t id)
+{
+    LrAttempt *attempt = attempt_of(engine, id);
+    return attempt && !attempt->part && attempt->target ? attempt : NULL;
 }
 
 static void
@@ -74,18 +88,6 @@
     attempt->target->refs++;
 }
 
-LrAttempt *
-LrAttempt_LookupWithdrawn(LrEngine *engine, uint64_t id)
-{
-    guint place = (guint)(id & PLACE_MASK);
-    if (place >= engine->attempts->len) {
-        return NULL;
-    }
-    LrAttempt *attempt = engine->attempts->pdata[place];
-    bool withdrawn = attempt->id == id && !attempt->part && attempt->target;
-    return withdrawn ? attempt : NULL;
-}
-
 void
 LrAttempt_Free(LrEngine *engine, LrAttempt *attempt)
 {
--- a/liblavenderrail/gather.c
+++ b/liblavenderrail/gather.c
@@ -88,10 +88,10 @@
 #define SHARE_EPSILON 1e-9
 
 size_t
-LrGather_Needed(const LrQuery *query)
+LrGather_Needed(const LrEntrySpec *spec, size_t n_shards)
 {
-    double share = query->entry->spec->min_coverage - SHARE_EPSILON;
-    return (size_t)MAX(1, ceil(share * (double)query->n_parts));
+    double share = spec->min_coverage - SHARE_EPSILON;
+    return (size_t)MAX(1, ceil(share * (double)n_shards));
 }
 
 bool
@@ -100,7 +100,7 @@
     if (query->n_open == 0 || now >= query->hard_at) {
         return true;
     }
-    size_t needed = LrGather_Needed(query);
+    size_t needed = LrGather_Needed(query->entry->spec, query->n_parts);
     if (query->entry->spec->strict_coverage &&
         query->n_answered + query->n_open < needed) {
         return true;
@@ -114,7 +114,8 @@
 {
     return query->n_answered > 0 &&
            (!query->entry->spec->strict_coverage ||
-            query->n_answered >= LrGather_Needed(query));
+            query->n_answered >=
+                LrGather_Needed(query->entry->spec, query->n_parts));
 }
 
 static LrOutcome
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -185,8 +185,8 @@
 /* Keeps the reply's head and body as the part's. */
 void LrGather_Keep(LrPart *part, const LrReply *reply);
 void LrGather_Missing(LrPart *part, LrReason reason);
-/* Shards that an answer of the query has to hold. */
-size_t LrGather_Needed(const LrQuery *query);
+/* Shards, of so many, that an answer has to hold by its entry's coverage. */
+size_t LrGather_Needed(const LrEntrySpec *spec, size_t n_shards);
 /* Whether the answer can be given now. */
 bool LrGather_IsDone(const LrQuery *query, LrTime now);
 /* Gives the answer with the parts that came; reason is for those that did
--- a/tests/test_repeat.cc
+++ b/tests/test_repeat.cc
@@ -28,6 +28,8 @@
            "max_attempts":2},
           {"name":"strict","owner":"o","service":"s","deadline_ms":500,
            "min_coverage":0.7,"strict_coverage":true,"max_attempts":1},
+          {"name":"most","owner":"o","service":"s","deadline_ms":500,
+           "min_coverage":0.55,"strict_coverage":true,"max_attempts":1},
           {"name":"once","owner":"o","service":"s","deadline_ms":500,
            "idempotent":false,"max_attempts":2})";
         publish({2});
@@ -201,3 +203,16 @@
     world.reply(first, LR_REPLY_OK);
     EXPECT_EQ(world.in_flight(), 0u);
 }
+
+// 0.55 of 20 is a little more than 11 in binary; 11 shards are enough.
+TEST(Repeat, JustEnoughShardsAreNotRefused)
+{
+    Routed world(20, 1);
+    for (int i = 0; i < 9; i++) {
+        std::string address = "127.0.0." + std::to_string(i) + ":1";
+        LrRouter_MarkLeaving(LrEngine_Router(world.engine),
+                             world.target(address), LR_SIGN_ANSWER, world.now);
+    }
+    world.submit("most");
+    EXPECT_EQ(world.sends.size(), 11u);
+}
