placement, router: faults: a target's share of faulty attempts counts

Cause: a target that refuses or fails some requests and serves others was never ejected, since each answer in between ends the series of failures, and a refusal changed its limit only: it kept its full share of first attempts.

Change: each target keeps a smoothed share of attempts without an answer; expected finish grows by three median latencies times that share.

Ruled out: ejection of such targets, which would leave shards without any target when all three refuse some.

--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -261,8 +261,7 @@
                            typical);
         break;
     case LR_REPLY_SHED:
-        LrCounters_Add(engine->config.counters, LR_COUNT_SHED, 1);
-        LrLimit_OnShed(&target->limit);
+        LrRouter_OnShed(engine->router, target, now);
         break;
     case LR_REPLY_VERSION_GONE:
         LrRouter_MarkGone(engine->router, target, query->map->version, now);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -460,6 +460,9 @@
     /* Last time that any answer came from the target. */
     LrTime heard_at;
     uint32_t failures;
+    /* Smoothed share of attempts that ended without an answer. */
+    double fault_share;
+    LrTime fault_at;
     LrTime broken_at;
     LrTime cancelled_at;
     /* What was in flight at the target's last death. */
@@ -538,6 +541,9 @@
 size_t LrRouter_Draw(LrRouter *router, size_t n);
 /* Smoothed latency of a target, the typical one while it is not known. */
 double LrRouter_Service(const LrTarget *target, LrTime now, LrTime typical);
+/* Share of a target's attempts, 0 to 1, that ended without an answer lately:
+ * refused, failed, broken or timed out. */
+double LrRouter_FaultShare(const LrTarget *target, LrTime now);
 /* Requests that wait at a target by its own report, less for its age. */
 double LrRouter_ReportedQueue(const LrTarget *target, LrTime now);
 /* Whether some replica of the group can be sent work now. */
@@ -547,6 +553,8 @@
 void LrRouter_OnSuccess(LrRouter *router, LrTarget *target, LrTime latency,
                         LrTime now, const LrLoadReport *report,
                         LrTime typical);
+/* The target refused a request without running it. */
+void LrRouter_OnShed(LrRouter *router, LrTarget *target, LrTime now);
 void LrRouter_OnFailure(LrRouter *router, LrTarget *target, LrTime now);
 void LrRouter_MarkLeaving(LrRouter *router, LrTarget *target,
                           LrLeavingSign sign, LrTime now);
--- a/liblavenderrail/placement.c
+++ b/liblavenderrail/placement.c
@@ -13,6 +13,9 @@
 /* Added for a target whose connections are left to other daemons, in typical
  * latencies: it is used when the others stand still. */
 #define SPARE_MEDIANS 0.5
+/* Cost of an attempt that ends without an answer, in typical latencies: the
+ * time until it is repeated, and its part of the budget. */
+#define FAULT_MEDIANS 3.0
 /* A target that has just started is slower by about this factor. */
 #define COLD_FACTOR 1.5
 
@@ -43,6 +46,8 @@
     if (target->spare) {
         finish += SPARE_MEDIANS * (double)typical;
     }
+    finish += LrRouter_FaultShare(target, now) * FAULT_MEDIANS *
+              (double)typical;
     if (!target->local) {
         finish += REMOTE_SHARE * (double)typical;
     }
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -15,6 +15,10 @@
 #define SAMPLE_CLIP 4.0
 /* An unsampled target's latency decays to the typical one at this rate. */
 #define FORGET_NS 3e9
+/* Weight of the newest attempt in the share of faulty ones, and the rate at
+ * which the share decays while the target is not tried. */
+#define FAULT_WEIGHT 0.3
+#define FAULT_FORGET_NS 3e9
 /* A load report loses its weight at this rate. */
 #define REPORT_NS 5e6
 /* A report of a queue is believed when the answer took this multiple of the
@@ -188,6 +192,16 @@
     return smoothed_service(target, now, (double)typical);
 }
 
+double
+LrRouter_FaultShare(const LrTarget *target, LrTime now)
+{
+    if (target->fault_share == 0) {
+        return 0;
+    }
+    double age = (double)MAX(0, now - target->fault_at);
+    return target->fault_share * exp(-age / FAULT_FORGET_NS);
+}
+
 double
 LrRouter_ReportedQueue(const LrTarget *target, LrTime now)
 {
@@ -428,12 +442,21 @@
     target->sampled_at = now;
 }
 
+static void
+add_outcome(LrTarget *target, bool fault, LrTime now)
+{
+    double share = LrRouter_FaultShare(target, now);
+    target->fault_share = share + FAULT_WEIGHT * ((fault ? 1 : 0) - share);
+    target->fault_at = now;
+}
+
 void
 LrRouter_OnSuccess(LrRouter *router, LrTarget *target, LrTime latency,
                    LrTime now, const LrLoadReport *report, LrTime typical)
 {
     (void)router;
     add_sample(target, latency, now, typical);
+    add_outcome(target, false, now);
     target->heard_at = now;
     target->failures = 0;
     target->ejections = 0;
@@ -450,9 +473,18 @@
     }
 }
 
+void
+LrRouter_OnShed(LrRouter *router, LrTarget *target, LrTime now)
+{
+    LrCounters_Add(router->config.counters, LR_COUNT_SHED, 1);
+    add_outcome(target, true, now);
+    LrLimit_OnShed(&target->limit);
+}
+
 void
 LrRouter_OnFailure(LrRouter *router, LrTarget *target, LrTime now)
 {
+    add_outcome(target, true, now);
     target->failures++;
     if (target->failures < FAILURES_TO_EJECT || target->ejected_until > now) {
         return;
--- /dev/null
+++ b/tests/routed_world.h
@@ -0,0 +1,51 @@
+// An engine as the routed contract sets it up.
+#ifndef LAVENDERRAIL_TESTS_ROUTED_WORLD_H
+#define LAVENDERRAIL_TESTS_ROUTED_WORLD_H
+
+#include "world.h"
+
+class Routed : public World {
+  public:
+    Routed(int n_groups, int n_replicas, double ratio = 0.2,
+           double extra = 100)
+        : World(n_groups, n_replicas)
+    {
+        LrEngine_Free(engine);
+        LrEngineConfig config = {};
+        config.zone = LrStr_FromC("z0");
+        config.seed = 3;
+        config.budget = {ratio, extra, 10 * LR_SECOND};
+        config.hedge_medians = 2;
+        config.confirm_deaths = true;
+        config.track_withdrawn = true;
+        config.direct = true;
+        config.policy = &LrRoutePolicy_Finish;
+        config.counters = counters;
+        engine = LrEngine_New(&config);
+        entries = R"(
+          {"name":"ask","owner":"o","service":"s","deadline_ms":500,
+           "max_attempts":2},
+          {"name":"strict","owner":"o","service":"s","deadline_ms":500,
+           "min_coverage":0.7,"strict_coverage":true,"max_attempts":1},
+          {"name":"most","owner":"o","service":"s","deadline_ms":500,
+           "min_coverage":0.28,"strict_coverage":true,"max_attempts":1},
+          {"name":"once","owner":"o","service":"s","deadline_ms":500,
+           "idempotent":false,"max_attempts":2})";
+        publish({2});
+    }
+    // Enough answers of 10 ms to know what is typical.
+    void
+    warm()
+    {
+        for (int i = 0; i < 60; i++) {
+            submit("ask", false, ("warm" + std::to_string(i)).c_str());
+            now += 10 * kMs;
+            while (!sends.empty()) {
+                reply(take(), LR_REPLY_OK);
+            }
+        }
+        answers.clear();
+    }
+};
+
+#endif
