reach, router: zones: a silent availability zone counts as cut off

Change: reach judges zones by what is heard from their targets and daemons: two targets that keep requests waiting while nothing at all was heard for 0.7 s. Targets of such a zone are passed over like ejected ones; shards that have no other are refused at once.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -216,6 +216,9 @@
 {
     LrDaemon *daemon = timer->data;
     on_timer(loop, timer, events);
+    if (daemon->gateway) {
+        LrRouter_JudgeZones(LrEngine_Router(daemon->engine), LrLoop_Now());
+    }
     LrLog_Flush(daemon->log);
     end_if_finished(daemon);
 }
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -6,6 +6,8 @@
 
 #include <jansson.h>
 
+#include "reach.h"
+
 /* Rows of each kind that ride on a probe. */
 enum { MAX_CONDEMNED = 4, MAX_LEAVING = 4 };
 
@@ -153,12 +155,23 @@
                  &ask);
 }
 
+/* The first of a probe's news is of its sender. */
+static void
+hear_zone(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
+{
+    if (message->n_news > 0) {
+        LrReach *reach = LrRouter_Reach(LrEngine_Router(daemon->engine));
+        LrReach_Heard(LrReach_Zone(reach, message->news[0].zone, now), now);
+    }
+}
+
 static void
 on_probe(LrDaemon *daemon, const LrProbeMsg *message)
 {
     LrTime now = LrLoop_Now();
     LrMembers_OnProbe(daemon->members, message, now);
     daemon->heard_at = now;
+    hear_zone(daemon, message, now);
     take_heard(daemon, message, now);
     take_condemned(daemon, message, now);
     take_leaving(daemon, message, now);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -406,6 +406,8 @@
 typedef struct LrTarget LrTarget;
 typedef struct LrGroup LrGroup;
 typedef struct LrRouter LrRouter;
+typedef struct LrReach LrReach;
+typedef struct LrZone LrZone;
 typedef struct LrAttempt LrAttempt;
 typedef struct LrPart LrPart;
 typedef struct LrQuery LrQuery;
@@ -447,6 +449,7 @@
     /* Identity that the target checks itself; empty when it checks none. */
     LrStr instance;
     LrStr zone;
+    LrZone *place;
     bool local;
     int refs;
     uint32_t in_flight;
@@ -541,6 +544,10 @@
 size_t LrRouter_Draw(LrRouter *router, size_t n);
 /* Smoothed latency of a target, the typical one while it is not known. */
 double LrRouter_Service(const LrTarget *target, LrTime now, LrTime typical);
+/* What is known of the zones that the targets are in. */
+LrReach *LrRouter_Reach(LrRouter *router);
+/* Judges by the requests that targets keep waiting which zones are cut off. */
+void LrRouter_JudgeZones(LrRouter *router, LrTime now);
 /* Share of a target's attempts, 0 to 1, that ended without an answer lately:
  * refused, failed, broken or timed out. */
 double LrRouter_FaultShare(const LrTarget *target, LrTime now);
--- a/liblavenderrail/placement.c
+++ b/liblavenderrail/placement.c
@@ -46,8 +46,8 @@
     if (target->spare) {
         finish += SPARE_MEDIANS * (double)typical;
     }
-    finish += LrRouter_FaultShare(target, now) * FAULT_MEDIANS *
-              (double)typical;
+    finish +=
+        LrRouter_FaultShare(target, now) * FAULT_MEDIANS * (double)typical;
     if (!target->local) {
         finish += REMOTE_SHARE * (double)typical;
     }
--- /dev/null
+++ b/liblavenderrail/reach.c
@@ -0,0 +1,148 @@
+/* A zone counts as cut off when several of its targets keep requests waiting
+ * and nothing at all has been heard from it for a while; it is back with the
+ * first sign of life. Single targets that fail are left to ejection. */
+#include "reach.h"
+
+/* Nothing heard for this long: longer than targets stand still (200 ms), and
+ * than two probe intervals of daemons (300 ms each). */
+#define SILENCE (700 * LR_MILLISECOND)
+/* A request that waits for longer than this makes its target a witness:
+ * longer than targets stand still. */
+#define WITNESS_WAIT (250 * LR_MILLISECOND)
+/* Targets that must be waiting, so that one dead target is no cut. */
+enum { WITNESSES = 2 };
+/* A zone whose silence no new request confirms is tried again after this
+ * time: its targets are hardly asked any more, and where no daemon is there to
+ * be heard nothing would ever end the cut. */
+#define HOLD (5 * LR_SECOND)
+
+struct LrReach {
+    LrStr own;
+    LrLog *log;
+    GPtrArray *zones;
+};
+
+static void
+free_zone(gpointer data)
+{
+    LrZone *zone = data;
+    g_free((char *)zone->name.ptr);
+    g_free(zone);
+}
+
+LrReach *
+LrReach_New(LrStr own_zone, LrLog *log)
+{
+    LrReach *reach = g_new0(LrReach, 1);
+    reach->own = (LrStr){.ptr = LrStr_Dup(own_zone), .len = own_zone.len};
+    reach->log = log;
+    reach->zones = g_ptr_array_new_with_free_func(free_zone);
+    return reach;
+}
+
+void
+LrReach_Free(LrReach *reach)
+{
+    if (!reach) {
+        return;
+    }
+    g_ptr_array_unref(reach->zones);
+    g_free((char *)reach->own.ptr);
+    g_free(reach);
+}
+
+LrZone *
+LrReach_Zone(LrReach *reach, LrStr name, LrTime now)
+{
+    for (guint i = 0; i < reach->zones->len; i++) {
+        LrZone *zone = reach->zones->pdata[i];
+        if (LrStr_Equal(zone->name, name)) {
+            return zone;
+        }
+    }
+    LrZone *zone = g_new0(LrZone, 1);
+    zone->name = (LrStr){.ptr = LrStr_Dup(name), .len = name.len};
+    zone->own = LrStr_Equal(name, reach->own);
+    zone->heard_at = now;
+    g_ptr_array_add(reach->zones, zone);
+    return zone;
+}
+
+void
+LrReach_Heard(LrZone *zone, LrTime now)
+{
+    zone->heard_at = now;
+}
+
+void
+LrReach_Begin(LrReach *reach)
+{
+    for (guint i = 0; i < reach->zones->len; i++) {
+        ((LrZone *)reach->zones->pdata[i])->n_silent = 0;
+    }
+}
+
+void
+LrReach_Waiting(LrZone *zone, LrTime oldest_sent_at, LrTime now)
+{
+    zone->n_silent += now - oldest_sent_at > WITNESS_WAIT;
+}
+
+static void
+set_cut(LrReach *reach, LrZone *zone, bool cut, LrTime now)
+{
+    zone->cut = cut;
+    LR_LOG(reach->log, LOG_WARNING, cut ? "zone_lost" : "zone_regained",
+           LrLog_Str("zone", zone->name),
+           LrLog_Int("heard_ms", (now - zone->heard_at) / LR_MILLISECOND),
+           LrLog_Int("silent_targets", zone->n_silent));
+}
+
+static void
+judge_zone(LrReach *reach, LrZone *zone, LrTime now)
+{
+    bool unheard = now - zone->heard_at > SILENCE;
+    if (unheard && zone->n_silent >= WITNESSES) {
+        zone->silent_at = now;
+        if (!zone->cut) {
+            set_cut(reach, zone, true, now);
+        }
+        return;
+    }
+    if (zone->cut && (!unheard || now - zone->silent_at > HOLD)) {
+        set_cut(reach, zone, false, now);
+    }
+}
+
+void
+LrReach_Judge(LrReach *reach, LrTime now)
+{
+    for (guint i = 0; i < reach->zones->len; i++) {
+        LrZone *zone = reach->zones->pdata[i];
+        if (!zone->own) {
+            judge_zone(reach, zone, now);
+        }
+    }
+}
+
+void
+LrReach_OnLateWakeup(LrReach *reach, LrTime now)
+{
+    for (guint i = 0; i < reach->zones->len; i++) {
+        LrReach_Heard(reach->zones->pdata[i], now);
+    }
+}
+
+bool
+LrReach_IsIsolated(const LrReach *reach)
+{
+    unsigned n_others = 0;
+    for (guint i = 0; i < reach->zones->len; i++) {
+        const LrZone *zone = reach->zones->pdata[i];
+        if (!zone->own && !zone->cut) {
+            return false;
+        }
+        n_others += !zone->own;
+    }
+    return n_others > 0;
+}
--- /dev/null
+++ b/liblavenderrail/reach.h
@@ -0,0 +1,45 @@
+/* Which availability zones this daemon reaches, judged by what it hears of
+ * their targets and of the daemons there. No I/O; time is an argument. */
+#ifndef LAVENDERRAIL_REACH_H
+#define LAVENDERRAIL_REACH_H
+
+#include "lavenderrail.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* One availability zone. Lives as long as its LrReach. */
+struct LrZone {
+    LrStr name;
+    bool own;
+    /* Taken to be cut off: its targets are used only where no others are. */
+    bool cut;
+    /* Last time that a target or a daemon of the zone was heard. */
+    LrTime heard_at;
+    /* Last time that the signs of a cut were there. */
+    LrTime silent_at;
+    /* Targets that have kept a request waiting, in the current judgement. */
+    unsigned n_silent;
+};
+
+LrReach *LrReach_New(LrStr own_zone, LrLog *log);
+void LrReach_Free(LrReach *reach);
+/* The zone of that name; a new one counts as heard now. */
+LrZone *LrReach_Zone(LrReach *reach, LrStr name, LrTime now);
+void LrReach_Heard(LrZone *zone, LrTime now);
+/* Starts a judgement; each silent target is told before it ends. */
+void LrReach_Begin(LrReach *reach);
+/* Tells a target whose oldest request was sent at that time. */
+void LrReach_Waiting(LrZone *zone, LrTime oldest_sent_at, LrTime now);
+void LrReach_Judge(LrReach *reach, LrTime now);
+/* This process was stopped: silence until now means nothing. */
+void LrReach_OnLateWakeup(LrReach *reach, LrTime now);
+/* Whether every other zone, of one or more, is cut off from this one. */
+bool LrReach_IsIsolated(const LrReach *reach);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -6,6 +6,7 @@
 #include "lavenderrail.h"
 
 #include "private.h"
+#include "reach.h"
 
 #include <math.h>
 
@@ -45,6 +46,7 @@
     LrRouterConfig config;
     const LrRoutePolicy *policy;
     GHashTable *targets;
+    LrReach *reach;
     uint32_t next_index;
     uint32_t turn;
 };
@@ -68,6 +70,7 @@
     LrRouter *router = g_new0(LrRouter, 1);
     router->config = *config;
     router->policy = policy;
+    router->reach = LrReach_New(config->zone, config->log);
     router->targets = g_hash_table_new_full(LrStr_TableHash, LrStr_TableEqual,
                                             NULL, free_target);
     return router;
@@ -80,6 +83,7 @@
         return;
     }
     g_hash_table_unref(router->targets);
+    LrReach_Free(router->reach);
     g_free(router);
 }
 
@@ -108,7 +112,8 @@
     target->name = own_str(spec->name);
     target->address = own_str(spec->address);
     target->zone = own_str(spec->zone);
-    target->local = LrStr_Equal(spec->zone, router->config.zone);
+    target->place = LrReach_Zone(router->reach, spec->zone, now);
+    target->local = target->place->own;
     target->refs = 1;
     target->groups = g_ptr_array_new();
     target->sampled_at = now;
@@ -251,6 +256,13 @@
     return LrLimit_HasRoom(&target->limit, target->in_flight);
 }
 
+/* By its own failures, or with its whole zone. */
+static bool
+is_ejected(const LrTarget *target, LrTime now)
+{
+    return target->ejected_until > now || target->place->cut;
+}
+
 typedef struct {
     LrTarget *items[MAX_CANDIDATES];
     size_t n;
@@ -272,7 +284,7 @@
             was_tried(target, tried, n_tried)) {
             continue;
         }
-        if (adaptive && !ejected_too && target->ejected_until > now) {
+        if (adaptive && !ejected_too && is_ejected(target, now)) {
             continue;
         }
         out->exists = true;
@@ -291,7 +303,7 @@
 {
     for (size_t i = 0; i < group->n_replicas; i++) {
         const LrTarget *target = group->replicas[i];
-        if (!LrRouter_IsLeaving(target, now) && target->ejected_until <= now) {
+        if (!LrRouter_IsLeaving(target, now) && !is_ejected(target, now)) {
             return true;
         }
     }
@@ -302,7 +314,7 @@
 LrRouter_AllEjected(const LrGroup *group, LrTime now)
 {
     for (size_t i = 0; i < group->n_replicas; i++) {
-        if (group->replicas[i]->ejected_until <= now) {
+        if (!is_ejected(group->replicas[i], now)) {
             return false;
         }
     }
@@ -458,6 +470,7 @@
     add_sample(target, latency, now, typical);
     add_outcome(target, false, now);
     target->heard_at = now;
+    LrReach_Heard(target->place, now);
     target->failures = 0;
     target->ejections = 0;
     target->ejected_until = 0;
@@ -478,6 +491,7 @@
 {
     LrCounters_Add(router->config.counters, LR_COUNT_SHED, 1);
     add_outcome(target, true, now);
+    LrReach_Heard(target->place, now);
     LrLimit_OnShed(&target->limit);
 }
 
@@ -561,6 +575,29 @@
 void
 LrRouter_OnLateWakeup(LrRouter *router, LrTime now)
 {
-    (void)now;
+    LrReach_OnLateWakeup(router->reach, now);
     LrRouter_Each(router, forget_target, NULL);
 }
+
+LrReach *
+LrRouter_Reach(LrRouter *router)
+{
+    return router->reach;
+}
+
+static void
+tell_waiting(void *data, LrTarget *target)
+{
+    const LrAttempt *oldest = TAILQ_FIRST(&target->attempts);
+    if (oldest && target->heard_at <= oldest->sent_at) {
+        LrReach_Waiting(target->place, oldest->sent_at, *(LrTime *)data);
+    }
+}
+
+void
+LrRouter_JudgeZones(LrRouter *router, LrTime now)
+{
+    LrReach_Begin(router->reach);
+    LrRouter_Each(router, tell_waiting, &now);
+    LrReach_Judge(router->reach, now);
+}
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -61,3 +61,32 @@
     firsts_at(world, LOCAL, LR_REPLY_OK, 50);
     EXPECT_GE(firsts_at(world, LOCAL, LR_REPLY_OK, 50), 45);
 }
+
+// Once the whole zone of a shard's only targets is silent, an answer that
+// needs the shard is refused before anything is sent.
+TEST(Placement, ShardsOfASilentZoneAreRefusedAtOnce)
+{
+    Routed world(12, 3);
+    world.warm();
+    LrRouter *router = LrEngine_Router(world.engine);
+    for (int id = 0; id < 36; id++) {
+        if (id % 3 != 1) {
+            std::string address = "127.0.0." + std::to_string(id) + ":1";
+            LrRouter_MarkLeaving(router, world.target(address),
+                                 LR_SIGN_HOST_LIST, world.now);
+        }
+    }
+    world.submit("strict", false, "before");
+    EXPECT_EQ(world.sends.size(), 12u);
+    for (int i = 0; i < 8; i++) {
+        world.advance(100 * World::kMs);
+        LrRouter_JudgeZones(router, world.now);
+    }
+    world.sends.clear();
+    world.answers.clear();
+    world.submit("strict", false, "after");
+    EXPECT_TRUE(world.sends.empty());
+    ASSERT_EQ(world.answers.size(), 1u);
+    EXPECT_EQ(world.answers[0].reason, LR_REASON_NO_REPLICA);
+    EXPECT_EQ(world.answers[0].outcome, LR_OUTCOME_NOT_RUN);
+}
--- /dev/null
+++ b/tests/test_reach.cc
@@ -0,0 +1,133 @@
+// When an availability zone counts as cut off, and when it is back.
+#include <gtest/gtest.h>
+
+#include "reach.h"
+
+namespace {
+
+class Reach : public testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        reach = LrReach_New(LrStr_FromC("own"), nullptr);
+        own = LrReach_Zone(reach, LrStr_FromC("own"), now);
+        one = LrReach_Zone(reach, LrStr_FromC("one"), now);
+        two = LrReach_Zone(reach, LrStr_FromC("two"), now);
+    }
+    void
+    TearDown() override
+    {
+        LrReach_Free(reach);
+    }
+    // Judges ten times a second; so many targets of the zone keep a request
+    // waiting from now on, and two is heard.
+    void
+    wait(LrZone *zone, int n_silent, LrTime length)
+    {
+        LrTime since = now;
+        while (now < since + length) {
+            now += 100 * LR_MILLISECOND;
+            LrReach_Begin(reach);
+            for (int i = 0; i < n_silent; i++) {
+                LrReach_Waiting(zone, since, now);
+            }
+            LrReach_Heard(two, now);
+            LrReach_Judge(reach, now);
+        }
+    }
+
+    LrReach *reach;
+    LrZone *own;
+    LrZone *one;
+    LrZone *two;
+    LrTime now = LR_SECOND;
+};
+
+} // namespace
+
+TEST_F(Reach, AZoneThatKeepsItsRequestsWaitingIsCutWithinASecond)
+{
+    wait(one, 3, LR_SECOND);
+    EXPECT_TRUE(one->cut);
+    EXPECT_FALSE(two->cut);
+    EXPECT_FALSE(LrReach_IsIsolated(reach)) << "two is heard";
+}
+
+TEST_F(Reach, OneSilentTargetIsNoCut)
+{
+    wait(one, 1, 3 * LR_SECOND);
+    EXPECT_FALSE(one->cut);
+}
+
+TEST_F(Reach, AZoneOfWhichNothingIsAskedIsNoCut)
+{
+    wait(one, 0, 10 * LR_SECOND);
+    EXPECT_FALSE(one->cut);
+}
+
+TEST_F(Reach, AStandstillOfTargetsIsNoCut)
+{
+    for (int i = 0; i < 5; i++) {
+        wait(one, 3, 300 * LR_MILLISECOND);
+        EXPECT_FALSE(one->cut);
+        LrReach_Heard(one, now);
+    }
+}
+
+TEST_F(Reach, TheFirstSignOfLifeEndsACut)
+{
+    wait(one, 3, LR_SECOND);
+    LrReach_Heard(one, now);
+    LrReach_Begin(reach);
+    LrReach_Judge(reach, now);
+    EXPECT_FALSE(one->cut);
+}
+
+// Nothing is sent to a zone that is cut: without a daemon there that probes,
+// only a new trial can tell that it is back.
+TEST_F(Reach, AZoneThatNobodyAsksAnyMoreIsTriedAgain)
+{
+    wait(one, 3, LR_SECOND);
+    ASSERT_TRUE(one->cut);
+    wait(one, 0, 6 * LR_SECOND);
+    EXPECT_FALSE(one->cut);
+}
+
+TEST_F(Reach, IsolatedWhenAllOtherZonesAreCut)
+{
+    EXPECT_FALSE(LrReach_IsIsolated(reach));
+    wait(one, 3, LR_SECOND);
+    LrTime heard_at = now;
+    now = heard_at + LR_SECOND;
+    LrReach_Begin(reach);
+    for (int i = 0; i < 3; i++) {
+        LrReach_Waiting(one, heard_at, now);
+        LrReach_Waiting(two, heard_at, now);
+        LrReach_Waiting(own, heard_at, now);
+    }
+    LrReach_Judge(reach, now);
+    EXPECT_TRUE(LrReach_IsIsolated(reach));
+    EXPECT_FALSE(own->cut) << "the own zone is never cut off";
+}
+
+TEST_F(Reach, ALateWakeupIsNoSilence)
+{
+    LrTime slept_at = now;
+    now += 30 * LR_SECOND;
+    LrReach_OnLateWakeup(reach, now);
+    LrReach_Begin(reach);
+    for (int i = 0; i < 3; i++) {
+        LrReach_Waiting(one, slept_at, now);
+    }
+    LrReach_Judge(reach, now);
+    EXPECT_FALSE(one->cut);
+}
+
+TEST_F(Reach, WithoutOtherZonesThereIsNoIsolation)
+{
+    LrReach *alone = LrReach_New(LrStr_FromC("own"), nullptr);
+    LrReach_Zone(alone, LrStr_FromC("own"), now);
+    EXPECT_FALSE(LrReach_IsIsolated(alone));
+    LrReach_Free(alone);
+}
