readiness, daemon: isolation: a host that can serve little leaves the rotation

Cause: the callers of a zone that is cut off keep coming to its hosts, which lack the shards that have no replica there (four zones, three replicas); the balancer knows nothing of it while the hosts report themselves ready.

Change: readiness is a decision of its own. A daemon cut off from all other zones that could serve less than half of its recent requests reports itself unready, and its answers close their connections, until a zone is heard again. What comes all the same is served as far as it can be. One that reaches another zone, or serves most requests, stays.

--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -16,6 +16,8 @@
 /* Places kept free in each group, as a share of the urgent requests that
  * run: each has one part in a group, for a part of its time. */
 #define URGENT_SHARE 0.6
+/* Requests count for the share that is not served at this rate of decay. */
+#define RECENT_FORGET_NS 5e9
 /* Share of answers that a late start must still be in time for. */
 #define NEEDED_QUANTILE 0.5
 
@@ -36,12 +38,25 @@
     return state->running < places && LrBucket_Take(&state->rate, now);
 }
 
-/* Whether enough shards have a replica to make an answer. */
-static bool
-can_suffice(const LrQuery *query, LrTime now)
+double
+LrAdmission_Recent(const LrEntryState *state, LrTime now)
+{
+    return state->recent *
+           exp(-(double)(now - state->recent_at) / RECENT_FORGET_NS);
+}
+
+static void
+note_recent(LrEntryState *state, LrTime now)
+{
+    state->recent = LrAdmission_Recent(state, now) + 1;
+    state->recent_at = now;
+}
+
+bool
+LrAdmission_CanSuffice(const LrEntry *entry, LrTime now)
 {
-    const LrEntrySpec *spec = query->entry->spec;
-    const LrMap *map = query->entry->service->maps;
+    const LrEntrySpec *spec = entry->spec;
+    const LrMap *map = entry->service->maps;
     if (!spec->strict_coverage) {
         return true;
     }
@@ -68,7 +83,8 @@
     if (query->shard.len > 0) {
         return LR_REASON_NONE;
     }
-    if (!can_suffice(query, now)) {
+    note_recent(query->entry->state, now);
+    if (!LrAdmission_CanSuffice(query->entry, now)) {
         return LR_REASON_NO_REPLICA;
     }
     if (!take_limits(engine, query->entry, now)) {
--- a/liblavenderrail/callers.c
+++ b/liblavenderrail/callers.c
@@ -439,9 +439,9 @@
 }
 
 void
-LrCallers_Drain(LrCallers *callers)
+LrCallers_SetDraining(LrCallers *callers, bool draining)
 {
-    callers->draining = true;
+    callers->draining = draining;
 }
 
 static void
--- a/liblavenderrail/callers.h
+++ b/liblavenderrail/callers.h
@@ -46,8 +46,8 @@
 LrCallers *LrCallers_New(const LrCallersConfig *config, GError **error);
 void LrCallers_Free(LrCallers *callers);
 void LrCallers_SetLimits(LrCallers *callers, const LrCallerLimits *limits);
-/* From now on every answer closes its connection. */
-void LrCallers_Drain(LrCallers *callers);
+/* While draining, every answer closes its connection. */
+void LrCallers_SetDraining(LrCallers *callers, bool draining);
 /* Takes no new connections, and closes those without a request. */
 void LrCallers_Quiesce(LrCallers *callers);
 /* Connections on which a request is read, worked on or answered. */
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -3,6 +3,7 @@
 
 #include "gateway.h"
 #include "keeper.h"
+#include "reach.h"
 
 #include <jansson.h>
 
@@ -169,7 +170,35 @@
 bool
 LrDaemon_IsReady(const LrDaemon *daemon)
 {
-    return LrEngine_View(daemon->engine) && !daemon->stopping;
+    return daemon->readiness == LR_READY;
+}
+
+/* Judges again whether callers are to be sent here. */
+static void
+update_readiness(LrDaemon *daemon)
+{
+    LrTime now = LrLoop_Now();
+    LrEngine *engine = daemon->engine;
+    LrStanding standing = {
+        .has_catalogue = LrEngine_View(engine) != NULL,
+        .stopping = daemon->stopping,
+        .isolated =
+            LrReach_IsIsolated(LrRouter_Reach(LrEngine_Router(engine))),
+    };
+    if (standing.isolated) {
+        standing.unserved = LrEngine_UnservedShare(engine, now);
+    }
+    LrReadiness next = LrReadiness_Next(daemon->readiness, &standing);
+    if (next == daemon->readiness) {
+        return;
+    }
+    daemon->readiness = next;
+    LR_LOG(daemon->log, LOG_NOTICE, "readiness_changed",
+           LrLog_C("readiness", LrReadiness_Names[next]),
+           LrLog_Int("unserved_percent", (int64_t)(100 * standing.unserved)));
+    if (daemon->gateway) {
+        LrGateway_SetDraining(daemon->gateway, next > LR_UNREADY_NO_CATALOGUE);
+    }
 }
 
 static void
@@ -219,6 +248,7 @@
     if (daemon->gateway) {
         LrRouter_JudgeZones(LrEngine_Router(daemon->engine), LrLoop_Now());
     }
+    update_readiness(daemon);
     LrLog_Flush(daemon->log);
     end_if_finished(daemon);
 }
@@ -234,6 +264,7 @@
     LrEngine_SetCatalogue(daemon->engine, LrLoop_Now(), catalogue);
     LrMembers_SetCatalogue(daemon->members, LrStore_Revision(store),
                            LrStore_Digest(store));
+    update_readiness(daemon);
     LrDaemon_Settle(daemon);
 }
 
@@ -400,6 +431,7 @@
     daemon->settings = *settings;
     daemon->log = log;
     daemon->wire = &LrWire_Http;
+    daemon->readiness = LR_UNREADY_NO_CATALOGUE;
     daemon->incarnation = LrLoop_WallMs();
     daemon->started_at = LrLoop_Now();
     daemon->counters = LrCounters_New();
@@ -480,9 +512,7 @@
     }
     daemon->stopping = true;
     daemon->stopped_at = LrLoop_Now();
-    if (daemon->gateway) {
-        LrGateway_Drain(daemon->gateway);
-    }
+    update_readiness(daemon);
     LrMembers_Leave(daemon->members, LrLoop_Now());
     LR_LOG(daemon->log, LOG_NOTICE, "stopping",
            LrLog_Str("name", daemon->settings.name),
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -4,6 +4,7 @@
 
 #include "contract.h"
 #include "lavenderrail.h"
+#include "readiness.h"
 
 #include <ev.h>
 
@@ -72,6 +73,7 @@
     LrTime started_at;
     LrTime stopped_at;
     bool stopping;
+    LrReadiness readiness;
     bool finished_waiting;
     bool closing;
 };
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -8,6 +8,9 @@
 #define RETRY_BURST 100.0
 #define RETRY_PER_SECOND 1.0
 
+/* Entries with fewer recent requests are passed over. */
+#define MIN_RECENT 0.05
+
 LrEngine *
 LrEngine_New(const LrEngineConfig *config)
 {
@@ -440,6 +443,23 @@
     return engine->running;
 }
 
+double
+LrEngine_UnservedShare(LrEngine *engine, LrTime now)
+{
+    double total = 0;
+    double unserved = 0;
+    for (size_t i = 0; engine->view && i < engine->view->n_entries; i++) {
+        const LrEntry *entry = &engine->view->entries[i];
+        double recent = LrAdmission_Recent(entry->state, now);
+        if (recent < MIN_RECENT) {
+            continue;
+        }
+        total += recent;
+        unserved += LrAdmission_CanSuffice(entry, now) ? 0 : recent;
+    }
+    return total > 0 ? unserved / total : 0;
+}
+
 void
 LrEngine_SetBudget(LrEngine *engine, const LrBudgetRule *budget)
 {
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -576,9 +576,9 @@
 }
 
 void
-LrGateway_Drain(LrGateway *gateway)
+LrGateway_SetDraining(LrGateway *gateway, bool draining)
 {
-    LrCallers_Drain(gateway->callers);
+    LrCallers_SetDraining(gateway->callers, draining);
 }
 
 void
--- a/liblavenderrail/gateway.h
+++ b/liblavenderrail/gateway.h
@@ -19,8 +19,9 @@
 /* Withdraws one; false when it is not under way here. */
 bool LrGateway_Cancel(LrGateway *gateway, uint64_t attempt);
 void LrGateway_Answered(LrRouted *routed, const LrAnswer *answer);
-/* A planned stop: answers close their connections. */
-void LrGateway_Drain(LrGateway *gateway);
+/* While draining, answers close their connections, so that callers come back
+ * by way of the balancer. */
+void LrGateway_SetDraining(LrGateway *gateway, bool draining);
 /* The balancer has noticed: idle connections are closed. */
 void LrGateway_Quiesce(LrGateway *gateway);
 /* Whether nothing is being worked on or answered. */
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -703,6 +703,9 @@
     /* Refused for want of a limit since it was last asked for. */
     bool wants;
     LrTime asked_at;
+    /* Requests of the last seconds; older ones count less. */
+    double recent;
+    LrTime recent_at;
 } LrEntryState;
 
 struct LrEntry {
@@ -1060,6 +1063,9 @@
 LrTime LrEngine_NextTimer(const LrEngine *engine);
 bool LrEngine_NextAction(LrEngine *engine, LrAction *action);
 size_t LrEngine_Running(const LrEngine *engine);
+/* Share, 0 to 1, of recent requests whose entries have too few targets now to
+ * make an answer. */
+double LrEngine_UnservedShare(LrEngine *engine, LrTime now);
 /* This daemon's part of the limits that hold over the fleet: its rank among
  * the daemons and their number. A larger part is taken up late. */
 void LrEngine_SetShare(LrEngine *engine, LrTime now, unsigned rank,
--- a/liblavenderrail/operator.c
+++ b/liblavenderrail/operator.c
@@ -15,12 +15,15 @@
 static void
 reply_ready(LrDaemon *daemon, LrExchange *exchange)
 {
-    bool ready = LrDaemon_IsReady(daemon);
-    const char *text = ready              ? "ready\n"
-                       : daemon->stopping ? "stopping\n"
-                                          : "no catalogue yet\n";
-    reply_text(exchange, ready ? STATUS_OK : STATUS_UNAVAILABLE, "text/plain",
-               g_strdup(text));
+    static const char *const texts[] = {
+        [LR_READY] = "ready\n",
+        [LR_UNREADY_NO_CATALOGUE] = "no catalogue yet\n",
+        [LR_UNREADY_STOPPING] = "stopping\n",
+        [LR_UNREADY_ISOLATED] = "cut off from the other zones\n",
+    };
+    reply_text(exchange,
+               LrDaemon_IsReady(daemon) ? STATUS_OK : STATUS_UNAVAILABLE,
+               "text/plain", g_strdup(texts[daemon->readiness]));
 }
 
 void
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -141,6 +141,10 @@
 /* admission.c */
 /* Reason to refuse the query at once, LR_REASON_NONE to go on. */
 LrReason LrAdmission_Check(LrEngine *engine, LrQuery *query, LrTime now);
+/* Whether enough shards of the entry have a target to make an answer. */
+bool LrAdmission_CanSuffice(const LrEntry *entry, LrTime now);
+/* Requests of the entry in the last seconds; older ones count less. */
+double LrAdmission_Recent(const LrEntryState *state, LrTime now);
 /* Whether a query of the service may start sending now. */
 bool LrAdmission_IsOpen(LrQuery *query);
 void LrAdmission_Enqueue(LrQuery *query);
