gateway, upstream: unfinished: the attempts that an answer did not wait for

One line for each attempt that is still out when an answer is given without its part: target, whether the request was sent or its connection is still being set up, and its age.

--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -56,6 +56,8 @@
     GString *head;
     GBytes *body;
     bool bodyless;
+    /* The caller got an answer without some parts. */
+    bool incomplete;
     unsigned n_attempts;
 };
 
@@ -64,6 +66,7 @@
     LrRouted *routed;
     LrUpstreamCall *call;
     char *instance;
+    LrTime sent_at;
     LrTime deadline;
     bool withdrawn;
 } Attempt;
@@ -335,6 +338,7 @@
     attempt->id = action->attempt;
     attempt->routed = routed;
     attempt->instance = LrStr_Dup(action->target->instance);
+    attempt->sent_at = LrLoop_Now();
     attempt->deadline = action->deadline;
     routed->refs++;
     routed->n_attempts++;
@@ -365,6 +369,21 @@
     }
 }
 
+/* Tells what an answer did not wait for. */
+static void
+log_unfinished(const Attempt *attempt)
+{
+    const LrRouted *routed = attempt->routed;
+    LR_LOG(
+        routed->gateway->daemon->log, LOG_INFO, "attempt_unfinished",
+        LrLog_C("id", routed->id), LrLog_Int("attempt", (int64_t)attempt->id),
+        LrLog_C("target", attempt->instance),
+        LrLog_C("phase",
+                LrUpstreamCall_IsSent(attempt->call) ? "sent" : "connecting"),
+        LrLog_Int("age_ms",
+                  (LrLoop_Now() - attempt->sent_at) / LR_MILLISECOND));
+}
+
 bool
 LrGateway_Cancel(LrGateway *gateway, uint64_t id)
 {
@@ -375,6 +394,9 @@
     /* The response is still read, since it tells of the target and leaves
      * the connection fit for use; the target is not kept at work for long. */
     attempt->withdrawn = true;
+    if (attempt->routed->incomplete) {
+        log_unfinished(attempt);
+    }
     LrTime linger = gateway->daemon->settings.linger_ms * LR_MILLISECOND;
     LrUpstreamCall_Shorten(attempt->call, LrLoop_Now() + linger);
     return true;
@@ -484,6 +506,7 @@
     log_answer(routed, answer, status);
     LrCall *call = routed->call;
     routed->call = NULL;
+    routed->incomplete = answer->outcome != LR_OUTCOME_COMPLETE;
     LrCall_SetData(call, NULL);
     LrCall_Reply(call, head, body, false);
     g_string_free(head, TRUE);
--- a/liblavenderrail/upstream.c
+++ b/liblavenderrail/upstream.c
@@ -405,8 +405,8 @@
         return;
     }
     Conn *conn = call->conn;
-    bool sent = conn->state != CONN_CONNECTING && conn->n_written > 0;
-    end_call(conn, sent ? LR_UPSTREAM_TIMEOUT : LR_UPSTREAM_NOT_SENT);
+    end_call(conn, LrUpstreamCall_IsSent(call) ? LR_UPSTREAM_TIMEOUT
+                                               : LR_UPSTREAM_NOT_SENT);
 }
 
 static Conn *
@@ -513,6 +513,13 @@
     return call;
 }
 
+bool
+LrUpstreamCall_IsSent(const LrUpstreamCall *call)
+{
+    return call->conn && call->conn->state != CONN_CONNECTING &&
+           call->conn->n_written > 0;
+}
+
 void
 LrUpstreamCall_Shorten(LrUpstreamCall *call, LrTime deadline)
 {
--- a/liblavenderrail/upstream.h
+++ b/liblavenderrail/upstream.h
@@ -61,6 +61,8 @@
 void LrUpstream_Free(LrUpstream *upstream);
 LrUpstreamCall *LrUpstream_Send(LrUpstream *upstream,
                                 const LrUpstreamSpec *spec);
+/* Whether a byte of the request has been sent. */
+bool LrUpstreamCall_IsSent(const LrUpstreamCall *call);
 /* Nobody waits for the response any more: the call ends by that time. */
 void LrUpstreamCall_Shorten(LrUpstreamCall *call, LrTime deadline);
 size_t LrUpstream_Open(const LrUpstream *upstream);
