router, dispatch: slowness: latencies of targets relative to what was asked

Cause: entries of long and of short work (20 and 6.7 ms) share targets, and the smoothed latency was kept in nanoseconds: after a long request the local replica looked twice as slow as typical to the short entry, which then went to replicas in other zones, on new connections; and a slow target looked fast to the long entry after a short request.

Change: a target's latency is kept as a multiple of the median of the service asked; nothing is learnt while that is unknown, where an assumed 5 ms made each target look slow at first.

Placement.EntriesOfLongAndShortWorkShareWhatIsKnown failed first.

--- a/cli/lavenderrail.c
+++ b/cli/lavenderrail.c
@@ -367,7 +367,7 @@
 print_targets(const json_t *targets)
 {
     static const char *const titles[] = {"TARGET", "ZONE",   "STATE",
-                                         "LIMIT",  "IN USE", "SERVICE MS"};
+                                         "LIMIT",  "IN USE", "SLOWNESS"};
     Table *table = Table_New(titles, G_N_ELEMENTS(titles));
     size_t i;
     json_t *target;
@@ -381,7 +381,7 @@
         Table_AddNumber(
             table, json_number_value(json_object_get(target, "in_flight")));
         Table_AddNumber(
-            table, json_number_value(json_object_get(target, "service_ms")));
+            table, json_number_value(json_object_get(target, "slowness")));
     }
     Table_Print(table);
 }
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -1,6 +1,7 @@
 /* Sends parts of queries to replicas, and queues them while none has room. */
 #include "private.h"
 
+#define MEDIAN 0.5
 /* Assumed median latency of a service that was never measured. */
 #define FIRST_TYPICAL (5 * LR_MILLISECOND)
 /* A part that has less than this share of the median left is given up. */
@@ -8,11 +9,18 @@
 
 enum { MAX_SENDS = 6 };
 
+LrTime
+LrDispatch_Measured(const LrQuery *query)
+{
+    return LrLatency_Quantile(query->entry->service->state->attempt, MEDIAN,
+                              0);
+}
+
 LrTime
 LrDispatch_Typical(const LrQuery *query)
 {
-    return LrLatency_Quantile(query->entry->service->state->attempt, 0.5,
-                              FIRST_TYPICAL);
+    LrTime measured = LrDispatch_Measured(query);
+    return measured > 0 ? measured : FIRST_TYPICAL;
 }
 
 static const LrCounterId KIND_COUNTERS[] = {
@@ -258,7 +266,7 @@
         LrCounters_Add(engine->config.counters, LR_COUNT_CANCELS, 1);
         attempt->target->cancelled_at = engine->now;
         if (engine->config.track_withdrawn) {
-            LrAttempt_Withdraw(attempt, LrDispatch_Typical(part->query));
+            LrAttempt_Withdraw(attempt, LrDispatch_Measured(part->query));
         }
         else {
             LrAttempt_Free(engine, attempt);
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -24,8 +24,8 @@
                   str_json(target->name), "address", str_json(target->address),
                   "zone", str_json(target->zone), "in_flight",
                   (int)target->in_flight, "limit", target->limit.value,
-                  "service_ms", target->service_ns / (double)LR_MILLISECOND,
-                  "leaving", LrRouter_IsLeaving(target, now), "ejected",
+                  "slowness", target->slowness, "leaving",
+                  LrRouter_IsLeaving(target, now), "ejected",
                   target->ejected_until > now, "failures",
                   (int)target->failures));
 }
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -248,7 +248,7 @@
     LrTarget *target = attempt->target;
     LrQuery *query = attempt->part->query;
     LrTime latency = now - attempt->sent_at;
-    LrTime typical = LrDispatch_Typical(query);
+    LrTime typical = LrDispatch_Measured(query);
     if (reply->draining) {
         LrRouter_MarkLeaving(engine->router, target, LR_SIGN_ANSWER, now);
     }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -456,7 +456,10 @@
     uint32_t suspects;
     struct LrAttemptList attempts;
     LrLimit limit;
-    double service_ns;
+    /* Smoothed latency as a multiple of what is typical for the entries that
+     * were asked: entries of short and of long work share the target. 0 while
+     * unknown. */
+    double slowness;
     LrTime sampled_at;
     double report_queue;
     LrTime report_at;
@@ -557,6 +560,8 @@
 bool LrRouter_IsServed(const LrGroup *group, LrTime now);
 /* Whether every replica of a group is ejected: a retry would be wasted. */
 bool LrRouter_AllEjected(const LrGroup *group, LrTime now);
+/* The target answered; typical is the median latency of what was asked, 0
+ * while unknown. */
 void LrRouter_OnSuccess(LrRouter *router, LrTarget *target, LrTime latency,
                         LrTime now, const LrLoadReport *report,
                         LrTime typical);
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -29,7 +29,7 @@
     /* Its request is a suspect; it was one already when this was sent. */
     bool suspect;
     bool sent_as_suspect;
-    /* Median latency of its service when it was withdrawn. */
+    /* Median latency of its service when it was withdrawn; 0 for unknown. */
     LrTime typical;
     TAILQ_ENTRY(LrAttempt) of_target;
 };
@@ -159,6 +159,9 @@
 uint32_t LrAdmission_Reserve(const LrQuery *query, LrTime now);
 
 /* dispatch.c */
+/* Median latency of an attempt of the query's service; 0 while unknown. */
+LrTime LrDispatch_Measured(const LrQuery *query);
+/* The same, an assumed one while unknown. */
 LrTime LrDispatch_Typical(const LrQuery *query);
 /* Sends the part to a replica, or queues it, or gives it up. */
 void LrDispatch_Part(LrEngine *engine, LrPart *part, LrTime now);
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -173,12 +173,12 @@
 static double
 smoothed_service(const LrTarget *target, LrTime now, double typical)
 {
-    if (target->service_ns == 0) {
+    if (target->slowness == 0) {
         return typical;
     }
     double idle = (double)(now - target->sampled_at);
     double weight = idle > 0 ? exp(-idle / FORGET_NS) : 1;
-    return typical + (target->service_ns - typical) * weight;
+    return typical * (1 + (target->slowness - 1) * weight);
 }
 
 static double
@@ -448,9 +448,11 @@
 static void
 add_sample(LrTarget *target, LrTime latency, LrTime now, LrTime typical)
 {
-    double service = smoothed_service(target, now, (double)typical);
-    double sample = MIN((double)latency, SAMPLE_CLIP * service);
-    target->service_ns = service + SERVICE_WEIGHT * (sample - service);
+    double slowness =
+        smoothed_service(target, now, (double)typical) / (double)typical;
+    double sample =
+        MIN((double)latency / (double)typical, SAMPLE_CLIP * slowness);
+    target->slowness = slowness + SERVICE_WEIGHT * (sample - slowness);
     target->sampled_at = now;
 }
 
@@ -467,7 +469,9 @@
                    LrTime now, const LrLoadReport *report, LrTime typical)
 {
     (void)router;
-    add_sample(target, latency, now, typical);
+    if (typical > 0) {
+        add_sample(target, latency, now, typical);
+    }
     add_outcome(target, false, now);
     target->heard_at = now;
     LrReach_Heard(target->place, now);
@@ -475,7 +479,7 @@
     target->ejections = 0;
     target->ejected_until = 0;
     double queue = -1;
-    double ratio = (double)latency / (double)typical;
+    double ratio = typical > 0 ? (double)latency / (double)typical : 1;
     if (report->present && isfinite(report->queued)) {
         queue = ratio > QUEUE_RATIO ? report->queued : 0;
         target->report_queue = queue;
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -90,3 +90,22 @@
     EXPECT_EQ(world.answers[0].reason, LR_REASON_NO_REPLICA);
     EXPECT_EQ(world.answers[0].outcome, LR_OUTCOME_NOT_RUN);
 }
+
+// Entries of long work say nothing against a target for those of short work,
+// nor does short work recommend one for long work.
+TEST(Placement, EntriesOfLongAndShortWorkShareWhatIsKnown)
+{
+    Routed world(1, 3);
+    world.warm();
+    LrTarget *target = world.target(LOCAL);
+    LrRouter *router = LrEngine_Router(world.engine);
+    LrLoadReport none = {};
+    for (int i = 0; i < 20; i++) {
+        LrRouter_OnSuccess(router, target, 20 * World::kMs, world.now, &none,
+                           20 * World::kMs);
+    }
+    EXPECT_NEAR(LrRouter_Service(target, world.now, 7 * World::kMs),
+                7.0 * World::kMs, 0.1 * World::kMs);
+    EXPECT_NEAR(LrRouter_Service(target, world.now, 20 * World::kMs),
+                20.0 * World::kMs, 0.1 * World::kMs);
+}
