gateway: keep: connections to spare replicas in use are kept for two seconds

Cause: a host of a large fleet asks each shard twice a second; a connection to a spare replica was closed after half a second, so that a host whose own replica failed, or was slow, opened one for each request.

--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -27,8 +27,11 @@
 /* A request that may not run twice is not risked on a connection that may
  * have been dropped unnoticed. */
 #define SAFE_IDLE (200 * LR_MILLISECOND)
-/* How long a connection to a target that is left to others is kept idle. */
-#define SPARE_KEEP (500 * LR_MILLISECOND)
+/* How long a connection to a target that is left to others is kept idle: one
+ * hedge seldom follows another there, first attempts come as often as requests
+ * of a shard at a host of a large fleet, twice a second. */
+#define SPARE_KEEP_HEDGED (500 * LR_MILLISECOND)
+#define SPARE_KEEP_USED (2 * LR_SECOND)
 /* Callers' limits until a configuration names them. */
 #define FIRST_RECEIVE_TIMEOUT (3 * LR_SECOND)
 #define FIRST_IDLE_TIMEOUT (15 * LR_SECOND)
@@ -330,6 +333,16 @@
     LrDaemon_Settle(daemon);
 }
 
+static LrTime
+keep_of(const LrAction *action)
+{
+    if (!action->target->spare) {
+        return LR_NEVER;
+    }
+    bool first = strcmp(action->cause, "first") == 0;
+    return first ? SPARE_KEEP_USED : SPARE_KEEP_HEDGED;
+}
+
 void
 LrGateway_Send(LrGateway *gateway, const LrAction *action)
 {
@@ -353,7 +366,7 @@
         .body = routed->body,
         .bodyless = routed->bodyless,
         .deadline = action->deadline,
-        .keep = action->target->spare ? SPARE_KEEP : LR_NEVER,
+        .keep = keep_of(action),
         .max_idle = routed->route->idempotent ? LR_NEVER : SAFE_IDLE,
     };
     attempt->call = LrUpstream_Send(gateway->upstream, &spec);
