router: slow_at: two slow answers in turn are believed at once

Change: a second answer beyond three medians, to a request sent after the first one came, sets the target's latency to what it took.

Placement.ATargetThatIsSlowTwiceInTurnIsBelieved failed first.

--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -460,6 +460,8 @@
      * were asked: entries of short and of long work share the target. 0 while
      * unknown. */
     double slowness;
+    /* When a slow answer came, if no other has come since; else 0. */
+    LrTime slow_at;
     LrTime sampled_at;
     double report_queue;
     LrTime report_at;
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -14,6 +14,9 @@
 #define SERVICE_WEIGHT 0.25
 /* A sample counts for at most this many times the smoothed latency. */
 #define SAMPLE_CLIP 4.0
+/* An answer beyond this multiple of the typical latency is slow. After two
+ * of them in turn the target is, and the latency is believed at once. */
+#define SLOW_RATIO 3.0
 /* An unsampled target's latency decays to the typical one at this rate. */
 #define FORGET_NS 3e9
 /* Weight of the newest attempt in the share of faulty ones, and the rate at
@@ -445,6 +448,23 @@
     .hedged = true,
 };
 
+/* Whether the answer is slow, and so was the last one that came before its
+ * request was sent: a standstill delays many requests, but once only. */
+static bool
+is_slow_again(LrTarget *target, LrTime latency, LrTime now, LrTime typical)
+{
+    if ((double)latency <= SLOW_RATIO * (double)typical) {
+        target->slow_at = 0;
+        return false;
+    }
+    LrTime before = target->slow_at;
+    bool again = before > 0 && now - latency >= before;
+    if (before == 0 || again) {
+        target->slow_at = now;
+    }
+    return again;
+}
+
 static void
 add_sample(LrTarget *target, LrTime latency, LrTime now, LrTime typical)
 {
@@ -453,6 +473,10 @@
     double sample =
         MIN((double)latency / (double)typical, SAMPLE_CLIP * slowness);
     target->slowness = slowness + SERVICE_WEIGHT * (sample - slowness);
+    if (is_slow_again(target, latency, now, typical)) {
+        target->slowness =
+            MAX(target->slowness, (double)latency / (double)typical);
+    }
     target->sampled_at = now;
 }
 
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -109,3 +109,25 @@
     EXPECT_NEAR(LrRouter_Service(target, world.now, 20 * World::kMs),
                 20.0 * World::kMs, 0.1 * World::kMs);
 }
+
+// Two slow answers in turn are enough to know a slow target for what it is;
+// requests that one standstill has delayed are one sign, not many.
+TEST(Placement, ATargetThatIsSlowTwiceInTurnIsBelieved)
+{
+    const LrTime typical = 20 * World::kMs;
+    const LrTime slow = 200 * World::kMs;
+    for (bool overlap : {true, false}) {
+        Routed world(1, 1);
+        LrRouter *router = LrEngine_Router(world.engine);
+        LrTarget *target = world.target(LOCAL);
+        LrLoadReport none = {};
+        LrTime now = world.now + LR_SECOND;
+        LrRouter_OnSuccess(router, target, typical, now, &none, typical);
+        now += slow;
+        LrRouter_OnSuccess(router, target, slow, now, &none, typical);
+        now += overlap ? World::kMs : slow + World::kMs;
+        LrRouter_OnSuccess(router, target, slow, now, &none, typical);
+        double service = LrRouter_Service(target, now, typical);
+        EXPECT_EQ(service >= 0.9 * slow, !overlap) << service;
+    }
+}
