engine, daemon: reload: a new answer margin holds for objectives too

A reload changed the margin for deadlines but not the engine's copy, which objectives are kept by. Engine.ANewAnswerMarginHoldsForTheNextRequest.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -529,6 +529,8 @@
     LrBudgetRule budget = budget_of(settings);
     LrEngine_SetBudget(daemon->engine, &budget);
     daemon->settings.answer_margin_ms = settings->answer_margin_ms;
+    LrEngine_SetAnswerMargin(daemon->engine,
+                             settings->answer_margin_ms * LR_MILLISECOND);
     daemon->settings.linger_ms = settings->linger_ms;
     daemon->settings.stop_limit_ms = settings->stop_limit_ms;
     daemon->settings.drain_wait_ms = settings->drain_wait_ms;
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -466,6 +466,12 @@
     engine->config.budget = *budget;
 }
 
+void
+LrEngine_SetAnswerMargin(LrEngine *engine, LrTime margin)
+{
+    engine->config.answer_margin = margin;
+}
+
 void
 LrEngine_Stop(LrEngine *engine)
 {
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1092,6 +1092,9 @@
 void LrEngine_TakeLoan(LrEngine *engine, LrTime now, const LrLoanMsg *loan);
 /* Refuses new requests with reason stopping. */
 void LrEngine_Stop(LrEngine *engine);
+/* Another margin that soft deadlines keep for the way back to the caller, for
+ * requests from now on. */
+void LrEngine_SetAnswerMargin(LrEngine *engine, LrTime margin);
 /* Another budget of repeats. */
 void LrEngine_SetBudget(LrEngine *engine, const LrBudgetRule *budget);
 void LrAnswer_Free(LrAnswer *answer);
--- a/tests/test_engine.cc
+++ b/tests/test_engine.cc
@@ -47,6 +47,19 @@
     EXPECT_EQ(world.cancels.size(), 1u) << "the last attempt is cancelled";
 }
 
+TEST(Engine, ANewAnswerMarginHoldsForTheNextRequest)
+{
+    World world;
+    LrEngine_SetAnswerMargin(world.engine, 30 * World::kMs);
+    world.submit("soft");
+    world.reply(world.take(), LR_REPLY_OK);
+    world.reply(world.take(), LR_REPLY_OK);
+    world.advance(69 * World::kMs);
+    EXPECT_TRUE(world.answers.empty());
+    world.advance(2 * World::kMs);
+    EXPECT_EQ(world.answers.size(), 1u) << "30 ms before the objective";
+}
+
 TEST(Engine, BelowMinimumCoverageWaitsForTheHardDeadline)
 {
     World world;
