--- /dev/null
+++ b/liblavenderrail/gateway_answer.c
@@ -0,0 +1,140 @@
+/* The routed interface: the engine's answer in the caller's contract. */
+#include "gateway_private.h"
+
+#include "merge.h"
+
+/* One complete answer in so many is logged. */
+enum { LOG_SAMPLE = 64 };
+
+LrTime
+LrGateway_RetryAfter(LrReason reason)
+{
+    switch (reason) {
+    case LR_REASON_STOPPING:
+        /* Another host can serve at once. */
+        return 50 * LR_MILLISECOND;
+    case LR_REASON_NO_CATALOGUE:
+        /* Start-up takes about this long. */
+        return LR_SECOND;
+    case LR_REASON_QUARANTINED:
+        return 60 * LR_SECOND;
+    case LR_REASON_NO_REPLICA:
+    case LR_REASON_TARGET_FAILED:
+        /* An ejected target is tried again after half a second. */
+        return 500 * LR_MILLISECOND;
+    default:
+        return 250 * LR_MILLISECOND;
+    }
+}
+
+static GBytes *
+merge_parts(const LrRouted *routed, const LrAnswer *answer)
+{
+    LrTopRecords *top = LrTopRecords_New((size_t)routed->route->top_k);
+    for (size_t i = 0; i < answer->n_parts; i++) {
+        if (answer->parts[i].target.len > 0) {
+            LrTopRecords_Add(top, LrStr_FromBytes(answer->parts[i].body));
+        }
+    }
+    GBytes *body = LrTopRecords_ToBytes(top);
+    LrTopRecords_Free(top);
+    return body;
+}
+
+/* Status of an answer that no target gave. */
+static unsigned
+own_status(const LrAnswer *answer)
+{
+    if (answer->outcome == LR_OUTCOME_NOT_RUN) {
+        return LR_STATUS_UNAVAILABLE;
+    }
+    return answer->reason == LR_REASON_DEADLINE ? LR_STATUS_TIMEOUT
+                                                : LR_STATUS_BAD_GATEWAY;
+}
+
+static void
+append_bytes(GString *text, GBytes *bytes)
+{
+    LrStr str = LrStr_FromBytes(bytes);
+    g_string_append_len(text, str.ptr, (gssize)str.len);
+}
+
+/* Fills the head of the caller's answer; returns its body. */
+static GBytes *
+compose(LrRouted *routed, const LrAnswer *answer, GString *head,
+        unsigned *status)
+{
+    const LrContract *contract = routed->gateway->contract;
+    bool success = answer->outcome == LR_OUTCOME_COMPLETE ||
+                   answer->outcome == LR_OUTCOME_PARTIAL;
+    bool single = !routed->route->scatter && answer->n_parts == 1;
+    *status = 200;
+    if (success && routed->route->scatter) {
+        contract->write_merged(answer, head);
+        return merge_parts(routed, answer);
+    }
+    if (single && answer->parts[0].head &&
+        answer->outcome != LR_OUTCOME_NOT_RUN) {
+        append_bytes(head, answer->parts[0].head);
+        *status = success ? 200 : LR_STATUS_BAD_GATEWAY;
+        return answer->parts[0].body ? g_bytes_ref(answer->parts[0].body)
+                                     : NULL;
+    }
+    *status = own_status(answer);
+    LrTime after = *status == LR_STATUS_UNAVAILABLE
+                       ? LrGateway_RetryAfter(answer->reason)
+                       : 0;
+    contract->write_own(*status, after, head);
+    return NULL;
+}
+
+static void
+log_answer(LrRouted *routed, const LrAnswer *answer, unsigned status)
+{
+    LrGateway *gateway = routed->gateway;
+    if (answer->outcome == LR_OUTCOME_COMPLETE &&
+        gateway->n_complete++ % LOG_SAMPLE != 0) {
+        return;
+    }
+    LrTime taken = LrLoop_Now() - LrCall_ArrivedAt(routed->call);
+    LR_LOG(gateway->daemon->log, LOG_INFO, "request_answered",
+           LrLog_C("id", routed->id), LrLog_Str("route", routed->route->name),
+           LrLog_C("outcome", LrOutcome_Names[answer->outcome]),
+           LrLog_C("reason", LrReason_Names[answer->reason]),
+           LrLog_Int("status", status),
+           LrLog_Int("parts", (int64_t)answer->n_parts),
+           LrLog_Int("answered", (int64_t)answer->n_answered),
+           LrLog_Int("attempts", routed->n_attempts),
+           LrLog_Int("ms", taken / LR_MILLISECOND),
+           LrLog_Int(
+               "config",
+               LrRoutes_Spec(LrRouting_Routes(routed->catalogue))->version));
+    for (size_t i = 0; i < answer->n_parts; i++) {
+        if (answer->parts[i].target.len == 0) {
+            LR_LOG(gateway->daemon->log, LOG_INFO, "part_missing",
+                   LrLog_C("id", routed->id),
+                   LrLog_Str("shard", answer->parts[i].shard),
+                   LrLog_C("reason", LrReason_Names[answer->parts[i].reason]));
+        }
+    }
+}
+
+void
+LrGateway_Answered(LrRouted *routed, const LrAnswer *answer)
+{
+    if (!routed->call) {
+        LrRouted_Unref(routed);
+        return;
+    }
+    GString *head = g_string_new(NULL);
+    unsigned status;
+    GBytes *body = compose(routed, answer, head, &status);
+    log_answer(routed, answer, status);
+    LrCall *call = routed->call;
+    routed->call = NULL;
+    routed->incomplete = answer->outcome != LR_OUTCOME_COMPLETE;
+    LrCall_SetData(call, NULL);
+    LrCall_Reply(call, head, body, false);
+    g_string_free(head, TRUE);
+    LrRouted_Unref(routed);
+}
--- /dev/null
+++ b/liblavenderrail/gateway_attempt.c
@@ -0,0 +1,199 @@
+/* The routed interface: from the engine's attempts to targets, and what became
+ * of them. */
+#include "gateway_private.h"
+
+#include <string.h>
+
+/* A request that may not run twice is not risked on a connection that may
+ * have been dropped unnoticed. */
+#define SAFE_IDLE (200 * LR_MILLISECOND)
+/* How long a connection to a target that is left to others is kept idle: one
+ * hedge seldom follows another there, first attempts come as often as requests
+ * of a shard at a host of a large fleet, twice a second. */
+#define SPARE_KEEP_HEDGED (500 * LR_MILLISECOND)
+#define SPARE_KEEP_USED (2 * LR_SECOND)
+
+typedef struct {
+    uint64_t id;
+    LrRouted *routed;
+    LrUpstreamCall *call;
+    char *instance;
+    LrTime sent_at;
+    LrTime deadline;
+    bool withdrawn;
+} Attempt;
+
+static void
+free_attempt(gpointer data)
+{
+    Attempt *attempt = data;
+    LrRouted_Unref(attempt->routed);
+    g_free(attempt->instance);
+    g_free(attempt);
+}
+
+GHashTable *
+LrGateway_NewAttempts(void)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                 free_attempt);
+}
+
+static void
+write_head(void *data, LrTime now, GString *out)
+{
+    const Attempt *attempt = data;
+    const LrRouted *routed = attempt->routed;
+    g_string_append_len(out, routed->head->str, (gssize)routed->head->len);
+    routed->gateway->contract->write_attempt(
+        LrStr_FromC(attempt->instance), MAX(0, attempt->deadline - now), out);
+    LrStr body = LrStr_FromBytes(routed->body);
+    if (body.len > 0) {
+        g_string_append_printf(out, "Content-Length: %zu\r\n", body.len);
+    }
+    g_string_append(out, "\r\n");
+}
+
+static bool
+is_own(void *data, const LrMessage *response)
+{
+    const Attempt *attempt = data;
+    return attempt->routed->gateway->contract->is_own(
+        response, LrStr_FromC(attempt->routed->id));
+}
+
+static void
+judge(const LrRouted *routed, LrUpstreamEnd end, LrMessage *response,
+      LrReply *reply)
+{
+    static const LrReplyStatus ends[] = {
+        [LR_UPSTREAM_OK] = LR_REPLY_OK,
+        [LR_UPSTREAM_NOT_SENT] = LR_REPLY_CONNECT_FAILED,
+        [LR_UPSTREAM_STALE] = LR_REPLY_STALE,
+        [LR_UPSTREAM_BROKEN] = LR_REPLY_BROKEN,
+        [LR_UPSTREAM_TIMEOUT] = LR_REPLY_TIMEOUT,
+        [LR_UPSTREAM_MALFORMED] = LR_REPLY_GARBAGE,
+    };
+    *reply = (LrReply){.status = ends[end]};
+    if (end == LR_UPSTREAM_OK) {
+        routed->gateway->contract->judge(response, routed->route->scatter,
+                                         reply);
+        reply->body = LrMessage_TakeBody(response);
+    }
+}
+
+static void
+log_attempt(const Attempt *attempt, const LrReply *reply)
+{
+    const LrRouted *routed = attempt->routed;
+    if (reply->status == LR_REPLY_OK || attempt->withdrawn) {
+        return;
+    }
+    LR_LOG(routed->gateway->daemon->log, LOG_INFO, "attempt_failed",
+           LrLog_C("id", routed->id),
+           LrLog_Int("attempt", (int64_t)attempt->id),
+           LrLog_C("target", attempt->instance),
+           LrLog_C("status", LrReplyStatus_Names[reply->status]),
+           LrLog_Int("left_ms",
+                     (attempt->deadline - LrLoop_Now()) / LR_MILLISECOND));
+}
+
+static void
+on_attempt_done(void *data, LrUpstreamEnd end, LrMessage *response)
+{
+    Attempt *attempt = data;
+    LrGateway *gateway = attempt->routed->gateway;
+    LrDaemon *daemon = gateway->daemon;
+    LrTime now = LrLoop_Now();
+    LrReply reply;
+    judge(attempt->routed, end, response, &reply);
+    log_attempt(attempt, &reply);
+    LrEngine_Advance(daemon->engine, now);
+    LrEngine_OnReply(daemon->engine, now, attempt->id, &reply);
+    g_clear_pointer(&reply.head, g_bytes_unref);
+    g_clear_pointer(&reply.body, g_bytes_unref);
+    g_hash_table_remove(gateway->attempts, &attempt->id);
+    LrDaemon_Settle(daemon);
+}
+
+static LrTime
+keep_of(const LrAction *action)
+{
+    if (!action->target->spare) {
+        return LR_NEVER;
+    }
+    bool first = strcmp(action->cause, "first") == 0;
+    return first ? SPARE_KEEP_USED : SPARE_KEEP_HEDGED;
+}
+
+void
+LrGateway_Send(LrGateway *gateway, const LrAction *action)
+{
+    LrRouted *routed = ((LrPending *)action->data)->routed;
+    Attempt *attempt = g_new0(Attempt, 1);
+    attempt->id = action->attempt;
+    attempt->routed = routed;
+    attempt->instance = LrStr_Dup(action->target->instance);
+    attempt->sent_at = LrLoop_Now();
+    attempt->deadline = action->deadline;
+    routed->refs++;
+    routed->n_attempts++;
+    g_hash_table_insert(gateway->attempts, &attempt->id, attempt);
+    LrUpstreamSpec spec = {
+        .key = action->target->key,
+        .address = action->target->address,
+        .write_head = write_head,
+        .is_own = is_own,
+        .done = on_attempt_done,
+        .data = attempt,
+        .body = routed->body,
+        .bodyless = routed->bodyless,
+        .deadline = action->deadline,
+        .keep = keep_of(action),
+        .max_idle = routed->route->idempotent ? LR_NEVER : SAFE_IDLE,
+    };
+    attempt->call = LrUpstream_Send(gateway->upstream, &spec);
+    if (strcmp(action->cause, "first") != 0) {
+        LR_LOG(gateway->daemon->log, LOG_INFO, "attempt_repeated",
+               LrLog_C("id", routed->id),
+               LrLog_Int("attempt", (int64_t)action->attempt),
+               LrLog_C("cause", action->cause),
+               LrLog_Str("shard", action->shard),
+               LrLog_C("target", attempt->instance),
+               LrLog_Int("left_ms",
+                         (action->deadline - LrLoop_Now()) / LR_MILLISECOND));
+    }
+}
+
+/* Tells what an answer did not wait for. */
+static void
+log_unfinished(const Attempt *attempt)
+{
+    const LrRouted *routed = attempt->routed;
+    LR_LOG(
+        routed->gateway->daemon->log, LOG_INFO, "attempt_unfinished",
+        LrLog_C("id", routed->id), LrLog_Int("attempt", (int64_t)attempt->id),
+        LrLog_C("target", attempt->instance),
+        LrLog_C("phase",
+                LrUpstreamCall_IsSent(attempt->call) ? "sent" : "connecting"),
+        LrLog_Int("age_ms",
+                  (LrLoop_Now() - attempt->sent_at) / LR_MILLISECOND));
+}
+
+bool
+LrGateway_Cancel(LrGateway *gateway, uint64_t id)
+{
+    Attempt *attempt = g_hash_table_lookup(gateway->attempts, &id);
+    if (!attempt) {
+        return false;
+    }
+    /* The response is still read, since it tells of the target and leaves
+     * the connection fit for use; the target is not kept at work for long. */
+    attempt->withdrawn = true;
+    if (attempt->routed->incomplete) {
+        log_unfinished(attempt);
+    }
+    LrTime linger = gateway->daemon->settings.linger_ms * LR_MILLISECOND;
+    LrUpstreamCall_Shorten(attempt->call, LrLoop_Now() + linger);
+    return true;
+}
