reach: isolation: zones without targets do not keep a host from being isolated

A zone that holds daemons only, or whose targets have gone, is never asked and so never counts as cut off: a host with all its targets in one silent zone stayed in the rotation.

RoutedTest.AHostThatIsCutOffLeavesTheRotationUntilItIsServedAgain plays it with real processes; it did not pass before.

--- a/liblavenderrail/reach.c
+++ b/liblavenderrail/reach.c
@@ -139,10 +139,13 @@
     unsigned n_others = 0;
     for (guint i = 0; i < reach->zones->len; i++) {
         const LrZone *zone = reach->zones->pdata[i];
-        if (!zone->own && !zone->cut) {
+        if (zone->own || zone->n_targets == 0) {
+            continue;
+        }
+        if (!zone->cut) {
             return false;
         }
-        n_others += !zone->own;
+        n_others++;
     }
     return n_others > 0;
 }
--- a/liblavenderrail/reach.h
+++ b/liblavenderrail/reach.h
@@ -13,6 +13,8 @@
 struct LrZone {
     LrStr name;
     bool own;
+    /* Targets there; a zone without any is of no use to this daemon. */
+    unsigned n_targets;
     /* Taken to be cut off: its targets are used only where no others are. */
     bool cut;
     /* Last time that a target or a daemon of the zone was heard. */
@@ -35,7 +37,8 @@
 void LrReach_Judge(LrReach *reach, LrTime now);
 /* This process was stopped: silence until now means nothing. */
 void LrReach_OnLateWakeup(LrReach *reach, LrTime now);
-/* Whether every other zone, of one or more, is cut off from this one. */
+/* Whether every other zone that has targets, of one or more, is cut off from
+ * this one. */
 bool LrReach_IsIsolated(const LrReach *reach);
 
 #ifdef __cplusplus
--- a/liblavenderrail/router.c
+++ b/liblavenderrail/router.c
@@ -58,6 +58,7 @@
 free_target(gpointer data)
 {
     LrTarget *target = data;
+    target->place->n_targets--;
     g_free((char *)target->key.ptr);
     g_free((char *)target->instance.ptr);
     g_free((char *)target->name.ptr);
@@ -116,6 +117,7 @@
     target->address = own_str(spec->address);
     target->zone = own_str(spec->zone);
     target->place = LrReach_Zone(router->reach, spec->zone, now);
+    target->place->n_targets++;
     target->local = target->place->own;
     target->refs = 1;
     target->groups = g_ptr_array_new();
--- a/tests/test_reach.cc
+++ b/tests/test_reach.cc
@@ -14,6 +14,9 @@
         own = LrReach_Zone(reach, LrStr_FromC("own"), now);
         one = LrReach_Zone(reach, LrStr_FromC("one"), now);
         two = LrReach_Zone(reach, LrStr_FromC("two"), now);
+        one->n_targets = 3;
+        two->n_targets = 3;
+        LrReach_Zone(reach, LrStr_FromC("daemons only"), now);
     }
     void
     TearDown() override
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -320,3 +320,30 @@
     EXPECT_EQ(daemon.wait(), 0);
     unlink(path.c_str());
 }
+
+// All targets are in another zone, which falls silent: the host could serve
+// nothing, says so to the balancer, and comes back with the zone.
+TEST_F(RoutedTest, AHostThatIsCutOffLeavesTheRotationUntilItIsServedAgain)
+{
+    const char *const targets[] = {"a1", "a2", "b1", "b2", "c1", "c2"};
+    for (const char *target : targets) {
+        fleet->fault(target, "pause_ms", 60000);
+    }
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    EXPECT_TRUE(eventually([&] {
+        callers.push_back(std::make_unique<RawCaller>(fleet->port(1)));
+        callers.back()->send(RoutedFleet::request(
+            "/s/x", "cut-" + std::to_string(callers.size())));
+        return !fleet->ready(1);
+    }));
+    RoutedAnswer refused = fleet->ask(1, "/s/x", "refused");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_FALSE(refused.header("Retry-After").empty());
+    EXPECT_EQ(refused.header("Connection"), "close");
+    EXPECT_TRUE(fleet->runs("refused").empty());
+    for (const char *target : targets) {
+        fleet->fault(target, "pause_ms", 0);
+    }
+    EXPECT_TRUE(eventually([&] { return fleet->ready(1); }));
+    EXPECT_TRUE(eventually([&] { return fleet->serves(1); }));
+}
