--- a/cli/trace.c
+++ b/cli/trace.c
@@ -25,6 +25,8 @@
     {"attempt_repeated",
      "{cause} of shard {shard} to {target}, {left_ms} ms left"},
     {"attempt_failed", "attempt at {target} ended: {status}"},
+    {"attempt_unfinished",
+     "attempt at {target} not waited for: {phase} since {age_ms} ms"},
     {"caller_gone", "the caller went away after {ms} ms"},
     {"part_missing", "shard {shard} left out: {reason}"},
     {"request_answered",
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -161,6 +161,8 @@
            "attempts=3 ms=20 config=7\n"
         << "<6>ts=1000 host=b event=attempt_repeated id=r1 attempt=5 "
            "cause=hedge shard=s1 target=\"t 1\" left_ms=90\n"
+        << "<6>ts=1019 host=b event=attempt_unfinished id=r1 attempt=5 "
+           "target=\"t 1\" phase=sent age_ms=19\n"
         << "<6>ts=1001 host=b event=request_answered id=r12 status=200\n"
         << "no log line\n";
     Output story = run(BIN + "lavenderrail trace r1 < " + path);
@@ -170,6 +172,8 @@
     EXPECT_NE(hedge, std::string::npos) << story.text;
     EXPECT_NE(answer, std::string::npos) << story.text;
     EXPECT_LT(hedge, answer);
+    EXPECT_TRUE(has(story, "attempt at t 1 not waited for: sent since 19 ms"))
+        << story.text;
     EXPECT_FALSE(has(story, "r12"));
     EXPECT_EQ(run(BIN + "lavenderrail trace none < " + path).status, 1);
     unlink(path.c_str());
