reach: zones: late judgements, forgotten zones, zones of one target

Found in reading: a process that was stopped for 0.9 s judged its zones before it had read what came meanwhile; zones that entries or daemons name were kept for ever; the only target of a zone could not make it count as lost; a target's own failure is a sign of life of its zone.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -197,7 +197,9 @@
            LrLog_C("readiness", LrReadiness_Names[next]),
            LrLog_Int("unserved_percent", (int64_t)(100 * standing.unserved)));
     if (daemon->gateway) {
-        LrGateway_SetDraining(daemon->gateway, next > LR_UNREADY_NO_CATALOGUE);
+        LrGateway_SetDraining(daemon->gateway,
+                              next == LR_UNREADY_STOPPING ||
+                                  next == LR_UNREADY_ISOLATED);
     }
 }
 
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -1,5 +1,6 @@
 /* The queries of one daemon: events go in, actions come out. */
 #include "private.h"
+#include "reach.h"
 
 /* A gap in the clock of this length is a late wake-up. */
 #define LATE_GAP LR_SECOND
@@ -278,6 +279,9 @@
         break;
     default:
         LrCounters_Add(engine->config.counters, LR_COUNT_TARGET_FAILURES, 1);
+        if (reply->status == LR_REPLY_ERROR) {
+            LrReach_Heard(target->place, now);
+        }
         if (!attempt->suspect) {
             LrRouter_OnFailure(engine->router, target, now);
         }
--- a/liblavenderrail/reach.c
+++ b/liblavenderrail/reach.c
@@ -9,15 +9,23 @@
 /* A request that waits for longer than this makes its target a witness:
  * longer than targets stand still. */
 #define WITNESS_WAIT (250 * LR_MILLISECOND)
-/* Targets that must be waiting, so that one dead target is no cut. */
+/* Targets that must be waiting, so that one dead target is no cut; all where a
+ * zone has fewer. */
 enum { WITNESSES = 2 };
+/* A zone without targets is forgotten when nothing was heard for this long. */
+#define FORGET (60 * LR_SECOND)
 /* A zone whose silence no new request confirms is tried again after this
  * time: its targets are hardly asked any more, and where no daemon is there to
  * be heard nothing would ever end the cut. */
 #define HOLD (5 * LR_SECOND)
 
+/* Judgements follow each other every 100 ms; after a longer gap this process
+ * was stopped or slow, and what came meanwhile is still to be read. */
+#define LATE (500 * LR_MILLISECOND)
+
 struct LrReach {
     LrStr own;
+    LrTime judged_at;
     LrLog *log;
     GPtrArray *zones;
 };
@@ -102,7 +110,8 @@
 judge_zone(LrReach *reach, LrZone *zone, LrTime now)
 {
     bool unheard = now - zone->heard_at > SILENCE;
-    if (unheard && zone->n_silent >= WITNESSES) {
+    if (unheard && zone->n_silent > 0 &&
+        zone->n_silent >= MIN(WITNESSES, zone->n_targets)) {
         zone->silent_at = now;
         if (!zone->cut) {
             set_cut(reach, zone, true, now);
@@ -115,22 +124,41 @@
 }
 
 void
-LrReach_Judge(LrReach *reach, LrTime now)
+LrReach_OnLateWakeup(LrReach *reach, LrTime now)
 {
     for (guint i = 0; i < reach->zones->len; i++) {
+        LrReach_Heard(reach->zones->pdata[i], now);
+    }
+}
+
+static bool
+is_forgotten(const LrZone *zone, LrTime now)
+{
+    return !zone->own && zone->n_targets == 0 && now - zone->heard_at > FORGET;
+}
+
+void
+LrReach_Judge(LrReach *reach, LrTime now)
+{
+    if (reach->judged_at > 0 && now - reach->judged_at > LATE) {
+        LrReach_OnLateWakeup(reach, now);
+    }
+    reach->judged_at = now;
+    for (guint i = reach->zones->len; i-- > 0;) {
         LrZone *zone = reach->zones->pdata[i];
-        if (!zone->own) {
+        if (is_forgotten(zone, now)) {
+            g_ptr_array_remove_index_fast(reach->zones, i);
+        }
+        else if (!zone->own) {
             judge_zone(reach, zone, now);
         }
     }
 }
 
-void
-LrReach_OnLateWakeup(LrReach *reach, LrTime now)
+unsigned
+LrReach_Count(const LrReach *reach)
 {
-    for (guint i = 0; i < reach->zones->len; i++) {
-        LrReach_Heard(reach->zones->pdata[i], now);
-    }
+    return reach->zones->len;
 }
 
 bool
--- a/liblavenderrail/reach.h
+++ b/liblavenderrail/reach.h
@@ -9,7 +9,8 @@
 extern "C" {
 #endif
 
-/* One availability zone. Lives as long as its LrReach. */
+/* One availability zone. Lives as long as it has targets; one without any is
+ * forgotten after a minute of silence. */
 struct LrZone {
     LrStr name;
     bool own;
@@ -35,6 +36,8 @@
 /* Tells a target whose oldest request was sent at that time. */
 void LrReach_Waiting(LrZone *zone, LrTime oldest_sent_at, LrTime now);
 void LrReach_Judge(LrReach *reach, LrTime now);
+/* Zones that are known, the own one among them. */
+unsigned LrReach_Count(const LrReach *reach);
 /* This process was stopped: silence until now means nothing. */
 void LrReach_OnLateWakeup(LrReach *reach, LrTime now);
 /* Whether every other zone that has targets, of one or more, is cut off from
