--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -30,15 +30,18 @@
     std::string key = fleet.key(2);
     std::vector<std::thread> callers;
     std::atomic<int> n_complete{0};
+    std::vector<std::string> answers(9);
     for (int i = 0; i < 9; i++) {
         callers.emplace_back([&, i] {
-            n_complete += fleet.order(1 + i % 3, key).outcome() == "complete";
+            HttpAnswer answer = fleet.order(1 + i % 3, key);
+            n_complete += answer.outcome() == "complete";
+            answers[(size_t)i] = std::to_string(answer.status) + answer.body;
         });
     }
     for (std::thread &caller : callers) {
         caller.join();
     }
-    EXPECT_EQ(n_complete, 9);
+    EXPECT_EQ(n_complete, 9) << testing::PrintToString(answers);
     EXPECT_EQ(fleet.runs(key), 1);
 }
 
