tests: fleet: all daemons know each other before copies are sent

The test waited until hosts 2 and 3 reach host 1, and then used a key of host 2, which host 3 may not have heard of yet: forward() finds no address. The test now waits until each host reaches each issuer; its expectations are the same.

--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -21,11 +21,16 @@
 TEST(Fleet, ConcurrentCopiesWaitForOneRun)
 {
     Fleet fleet(26200, 3);
-    std::string warm = fleet.key(1);
-    ASSERT_TRUE(eventually([&] {
-        return fleet.order(2, warm).outcome() == "complete" &&
-               fleet.order(3, warm).outcome() == "complete";
-    }));
+    // Every daemon knows the others: one that has just started does not, and
+    // says so of their keys.
+    for (int issuer = 1; issuer <= 3; issuer++) {
+        std::string warm = fleet.key(issuer);
+        ASSERT_TRUE(eventually([&] {
+            return fleet.order(1, warm).outcome() == "complete" &&
+                   fleet.order(2, warm).outcome() == "complete" &&
+                   fleet.order(3, warm).outcome() == "complete";
+        }));
+    }
     fleet.fault("all", "slow=50");
     std::string key = fleet.key(2);
     std::vector<std::thread> callers;
