--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -450,7 +450,6 @@
     LrStr instance;
     LrStr zone;
     LrZone *place;
-    bool local;
     int refs;
     uint32_t in_flight;
     /* Connections that can take a request at once, as the edge tells. */
@@ -485,15 +484,16 @@
     unsigned leaving_signs;
     LrTime leaving_until;
     LrTime warm_at;
-    /* Used only where the other replicas of its group do not do: this daemon
-     * leaves the target's connections to others. */
-    bool spare;
     /* Index versions that the last answer named; 0 while unknown. */
     int64_t oldest;
     int64_t newest;
     int64_t gone_version;
     LrTime gone_until;
     GPtrArray *groups;
+    bool local;
+    /* Used only where the other replicas of its group do not do: this daemon
+     * leaves the target's connections to others. */
+    bool spare;
     bool dirty;
     /* A daemon that stands for searchers; its address begins with '@'. */
     bool relay;
