hedge, gateway: reading: one median, one test for first attempts

Found in reading the change again: hedge.c looked up the median that LrDispatch_Measured gives, and computed two quantiles on each run that the routed contract does not use; the test for a first attempt stood twice in gateway_attempt.c.

--- a/liblavenderrail/gateway_attempt.c
+++ b/liblavenderrail/gateway_attempt.c
@@ -116,14 +116,19 @@
     LrDaemon_Settle(daemon);
 }
 
+static bool
+is_first(const LrAction *action)
+{
+    return strcmp(action->cause, "first") == 0;
+}
+
 static LrTime
 keep_of(const LrAction *action)
 {
     if (!action->target->spare) {
         return LR_NEVER;
     }
-    bool first = strcmp(action->cause, "first") == 0;
-    return first ? SPARE_KEEP_USED : SPARE_KEEP_HEDGED;
+    return is_first(action) ? SPARE_KEEP_USED : SPARE_KEEP_HEDGED;
 }
 
 void
@@ -153,7 +158,7 @@
         .max_idle = routed->route->idempotent ? LR_NEVER : SAFE_IDLE,
     };
     attempt->call = LrUpstream_Send(gateway->upstream, &spec);
-    if (strcmp(action->cause, "first") != 0) {
+    if (!is_first(action)) {
         LR_LOG(gateway->daemon->log, LOG_INFO, "attempt_repeated",
                LrLog_C("id", routed->id),
                LrLog_Int("attempt", (int64_t)action->attempt),
--- a/liblavenderrail/hedge.c
+++ b/liblavenderrail/hedge.c
@@ -7,7 +7,6 @@
  * with a full and with an empty budget. */
 #define QUANTILE_FULL 0.97
 #define QUANTILE_EMPTY 0.985
-#define MEDIAN 0.5
 /* Time between the hedges of a part, as a share of the first delay. */
 #define STEP_SHARE 0.3
 /* A daemon that relays hedges its shards itself; only when it is lost or
@@ -22,13 +21,13 @@
 static LrTime
 slow_age(const LrEngine *engine, const LrQuery *query)
 {
-    LrLatency *attempt = query->entry->service->state->attempt;
-    double full = (double)LrLatency_Quantile(attempt, QUANTILE_FULL, 0);
-    double empty = (double)LrLatency_Quantile(attempt, QUANTILE_EMPTY, 0);
     if (engine->config.hedge_medians > 0) {
-        double median = (double)LrLatency_Quantile(attempt, MEDIAN, 0);
+        double median = (double)LrDispatch_Measured(query);
         return (LrTime)(engine->config.hedge_medians * median);
     }
+    LrLatency *attempt = query->entry->service->state->attempt;
+    double full = (double)LrLatency_Quantile(attempt, QUANTILE_FULL, 0);
+    double empty = (double)LrLatency_Quantile(attempt, QUANTILE_EMPTY, 0);
     double fill = engine->hedges.tokens / engine->hedges.cap;
     return (LrTime)(empty + (full - empty) * fill);
 }
