--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -361,7 +361,7 @@
     /* repeated requests to a service as a share of its requests; 0 for no such budget */
     double budget_ratio;
     /* repeated requests to a service beyond the share, over the fleet */
-    int64_t budget_extra;
+    double budget_extra;
     /* window in which repeated requests are counted */
     int64_t budget_window_ms;
     /* daemons that budget-extra is divided by at the least */
@@ -380,6 +380,8 @@
     int64_t stop_limit_ms;
     /* file descriptors that the process may use */
     int64_t max_files;
+    /* the whole fleet starts for the first time: peers are waited for before the configuration service is read */
+    bool first_start;
     /* log lines about single requests in a second */
     int64_t log_lines_per_s;
 } LrSettings;
--- a/liblavenderrail/record.c
+++ b/liblavenderrail/record.c
@@ -89,6 +89,21 @@
     return end != copy && (size_t)(end - copy) == text.len && isfinite(*value);
 }
 
+/* A fraction where a whole number is wanted is rounded down: such settings
+ * are bounds, and figures that were divided need not come out whole. */
+static bool
+parse_whole(LrStr text, double *value)
+{
+    int64_t whole = 0;
+    if (LrStr_ToInt(text, &whole)) {
+        *value = (double)whole;
+        return true;
+    }
+    bool valid = parse_real(text, value);
+    *value = floor(*value);
+    return valid;
+}
+
 static bool
 parse_bool(LrStr text, double *value)
 {
@@ -101,7 +116,6 @@
 LrRecord_SetText(const LrFieldSpec *field, void *out, LrStr text,
                  const char *path, LrFaults *faults)
 {
-    int64_t whole = 0;
     double value = 0;
     bool valid = false;
     switch (field->kind) {
@@ -111,8 +125,7 @@
     case LR_FIELD_ENUM:
         return LrField_SetChoice(field, out, text, path, faults);
     case LR_FIELD_INT:
-        valid = LrStr_ToInt(text, &whole);
-        value = (double)whole;
+        valid = parse_whole(text, &value);
         break;
     case LR_FIELD_REAL:
         valid = parse_real(text, &value);
--- a/liblavenderrail/settings.c
+++ b/liblavenderrail/settings.c
@@ -189,7 +189,11 @@
                      "names no setting: '%s'", line);
         return;
     }
-    g_hash_table_replace(options->lines, g_strdup(line), g_strdup(equals + 1));
+    /* A template leaves nothing where a deployment has no such figure. */
+    if (equals[1] != '\0') {
+        g_hash_table_replace(options->lines, g_strdup(line),
+                             g_strdup(equals + 1));
+    }
 }
 
 static void
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -152,6 +152,36 @@
     EXPECT_EQ(run(daemon + "--check-settings").status, 2);
 }
 
+// A deployment divides its figures by its size: they need not be whole.
+TEST(Cli, FiguresOfThePlatformMayBeFractions)
+{
+    std::string daemon = BIN + "lavenderraild " + GOOD;
+    EXPECT_EQ(run(daemon + " --budget-extra 33.1578947368421").status, 0);
+    EXPECT_EQ(run(daemon + " --max-files 4100.0").status, 0);
+    EXPECT_EQ(run(daemon + " --max-files 4100.75").status, 0)
+        << "descriptors are rounded down";
+    EXPECT_EQ(run(daemon + " --budget-extra -1").status, 2);
+    EXPECT_EQ(run(daemon + " --budget-extra nan").status, 2);
+    EXPECT_EQ(run(daemon + " --max-files 4100.x").status, 2);
+}
+
+TEST(Cli, FiguresThatAPlatformDoesNotGiveKeepTheirDefaults)
+{
+    std::string path = "/tmp/lr-empty-" + std::to_string(getpid()) + ".conf";
+    std::ofstream(path)
+        << "name=a\nzone=z\nconfig-url=http://127.0.0.1:1\n"
+           "contract=platform\nfirst-start=\nseeds=127.0.0.1:9\n"
+           "budget-extra=\nmax-files=\n";
+    Output output =
+        run(BIN + "lavenderraild --check-settings --settings " + path);
+    EXPECT_EQ(output.status, 0) << output.text;
+    std::ofstream(path) << "name=\nzone=z\nconfig-url=http://127.0.0.1:1\n";
+    output = run(BIN + "lavenderraild --check-settings --settings " + path);
+    EXPECT_EQ(output.status, 2);
+    EXPECT_TRUE(has(output, "--name: is missing")) << output.text;
+    unlink(path.c_str());
+}
+
 TEST(Cli, TraceTellsARequestInOrderOfTime)
 {
     std::string path = "/tmp/lr-trace-" + std::to_string(getpid()) + ".log";
