readers, feed: first start: seeds read the service, the others ask peers

At a fleet's first start only the seeds read for five seconds now; the others take the whole from a peer that has it, by digest. A reader that has a whole store from a peer goes on with a watch instead of a listing. The choice is code of its own (readers), without I/O. A host that starts into a running fleet reads at once, as before, since callers wait for it.

Ruled out: the steady state (two readers a zone, some 100 calls).

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -373,6 +373,7 @@
         .data = daemon,
     };
     daemon->source = daemon->deployment->source->start(&config);
+    LrFleet_ChooseReaders(daemon, LrLoop_Now());
 }
 
 static void
@@ -390,7 +391,7 @@
 {
     return (LrBudgetRule){
         .ratio = settings->budget_ratio,
-        .extra = (double)settings->budget_extra,
+        .extra = settings->budget_extra,
         .window = settings->budget_window_ms * LR_MILLISECOND,
     };
 }
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -133,6 +133,8 @@
 /* fleet.c */
 bool LrFleet_Start(LrDaemon *daemon, GError **error);
 void LrFleet_Stop(LrDaemon *daemon);
+/* Decides again whether this daemon reads the configuration service. */
+void LrFleet_ChooseReaders(LrDaemon *daemon, LrTime now);
 struct json_t *LrFleet_Dump(const LrDaemon *daemon);
 
 /* operator.c */
--- a/liblavenderrail/feed.c
+++ b/liblavenderrail/feed.c
@@ -16,6 +16,9 @@
     /* The listing under way, or the changes since the last store. */
     bool listing;
     bool listed;
+    /* What is in force is no ground to go on from: the history after it is
+     * gone, or it was refused. */
+    bool must_list;
     char *after_key;
     int64_t list_revision;
     GHashTable *items;
@@ -47,7 +50,6 @@
 {
     LrFeed *feed = g_new0(LrFeed, 1);
     feed->config = *config;
-    feed->reading = true;
     feed->items =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
     return feed;
@@ -73,6 +75,18 @@
     feed->reading = reading;
 }
 
+/* A store that came from peers is whole at its revision, as digests show: a
+ * watch from there on needs no listing. */
+static void
+go_on_from(LrFeed *feed, const LrStore *base)
+{
+    if (!feed->listed && !feed->listing && !feed->must_list &&
+        LrStore_Revision(base) > 0) {
+        feed->listed = true;
+        feed->revision = LrStore_Revision(base);
+    }
+}
+
 LrFeedCall
 LrFeed_NextCall(LrFeed *feed, const LrStore *base, LrTime now)
 {
@@ -80,6 +94,7 @@
     if (!feed->reading) {
         return call;
     }
+    go_on_from(feed, base);
     if (!feed->listed) {
         call.kind = LR_FEED_LIST;
         call.after_key = feed->after_key;
@@ -132,6 +147,7 @@
     g_clear_pointer(&feed->after_key, g_free);
     feed->listing = false;
     feed->listed = false;
+    feed->must_list = true;
     feed->list_complete = false;
 }
 
@@ -159,6 +175,7 @@
     g_clear_pointer(&feed->after_key, g_free);
     feed->listing = false;
     feed->listed = true;
+    feed->must_list = false;
     feed->list_complete = true;
     feed->changed = true;
     feed->revision = feed->list_revision;
--- a/liblavenderrail/feed.h
+++ b/liblavenderrail/feed.h
@@ -53,7 +53,7 @@
 
 LrFeed *LrFeed_New(const LrFeedConfig *config);
 void LrFeed_Free(LrFeed *feed);
-/* Whether to read at all. */
+/* Whether to read at all; a new feed does not. */
 void LrFeed_SetReading(LrFeed *feed, bool reading, LrTime now);
 /* The call to make next; base is the store in force. */
 LrFeedCall LrFeed_NextCall(LrFeed *feed, const LrStore *base, LrTime now);
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -7,13 +7,11 @@
 #include <jansson.h>
 
 #include "reach.h"
+#include "readers.h"
 
 /* Rows of each kind that ride on a probe. */
 enum { MAX_CONDEMNED = 4, MAX_LEAVING = 4 };
 
-/* Watches that may pass without any reading being heard of. */
-#define STALE_WAITS 2
-
 /* An unanswered request for a delta is repeated after this time. */
 #define ASK_AGAIN (2 * LR_SECOND)
 
@@ -345,21 +343,25 @@
     }
 }
 
-/* A few daemons a zone read the service; the others do when they have heard
- * nothing from their peers. */
-static void
-choose_readers(LrDaemon *daemon, LrTime now)
+void
+LrFleet_ChooseReaders(LrDaemon *daemon, LrTime now)
 {
-    LrTime silence = LrMembers_SuspectTime(daemon->members);
-    bool alone = now - daemon->heard_at > silence;
-    bool reader = LrMembers_ZoneRank(daemon->members) <
-                  (unsigned)daemon->settings.readers_per_zone;
-    bool known = LrEngine_View(daemon->engine) != NULL;
-    /* The readers may all be refused while others would be served. */
-    bool stale = heard_ms(daemon, now) * LR_MILLISECOND >
-                 STALE_WAITS * daemon->settings.watch_wait_ms * LR_MILLISECOND;
-    daemon->deployment->source->set_reading(
-        daemon->source, reader || alone || !known || stale);
+    const LrSettings *settings = &daemon->settings;
+    LrReaderStanding standing = {
+        .now = now,
+        .started_at = daemon->started_at,
+        .first_start = settings->first_start,
+        .seed = LrReaders_IsSeed(settings->seeds, settings->peer_address),
+        .has_catalogue = LrEngine_View(daemon->engine) != NULL,
+        .zone_rank = LrMembers_ZoneRank(daemon->members),
+        .readers_per_zone = (unsigned)settings->readers_per_zone,
+        .silence = now - daemon->heard_at,
+        .alone_after = LrMembers_SuspectTime(daemon->members),
+        .reading_age = heard_ms(daemon, now) * LR_MILLISECOND,
+        .watch_wait = settings->watch_wait_ms * LR_MILLISECOND,
+    };
+    daemon->deployment->source->set_reading(daemon->source,
+                                            LrReaders_ShouldRead(&standing));
 }
 
 static int
@@ -400,7 +402,7 @@
     LrTime now = LrLoop_Now();
     LrMembers_Tick(daemon->members, now);
     LrKeeper_Release(daemon->keeper, now);
-    choose_readers(daemon, now);
+    LrFleet_ChooseReaders(daemon, now);
     unsigned count;
     unsigned rank = LrMembers_ListRank(daemon->members, &count);
     LrEngine_SetShare(daemon->engine, now, rank, count);
@@ -449,7 +451,7 @@
     daemon->members = new_members(daemon);
     daemon->heard_at = LrLoop_Now();
     double seconds = (double)daemon->settings.probe_ms / 1000;
-    ev_timer_init(&daemon->probe_timer, on_interval, seconds, seconds);
+    ev_timer_init(&daemon->probe_timer, on_interval, 0, seconds);
     daemon->probe_timer.data = daemon;
     ev_timer_start(daemon->loop, &daemon->probe_timer);
     return true;
--- /dev/null
+++ b/liblavenderrail/readers.c
@@ -0,0 +1,61 @@
+/* Few daemons read the configuration service, since each call is paid for and
+ * the rate of all together is limited.
+ *
+ * Answers the load of a large fleet that starts at once: the seeds read, and
+ * the others take the whole from a peer that has it. A daemon that starts
+ * into a running fleet reads at once, since callers wait for it. */
+#include "readers.h"
+
+#include <string.h>
+
+/* Watches that may pass without any reading being heard of. */
+#define STALE_WAITS 2
+
+/* How long a daemon of a fleet's first start waits for its peers: news reach
+ * 650 daemons in ten probe intervals of 300 ms, and callers come ten seconds
+ * after the start at the earliest. */
+#define FIRST_START_WAIT (5 * LR_SECOND)
+
+static bool
+waits_for_peers(const LrReaderStanding *standing)
+{
+    return standing->first_start && !standing->seed &&
+           standing->now - standing->started_at < FIRST_START_WAIT;
+}
+
+bool
+LrReaders_ShouldRead(const LrReaderStanding *standing)
+{
+    if (standing->silence > standing->alone_after) {
+        return true;
+    }
+    /* The readers may all be refused while others would be served. */
+    if (standing->reading_age > STALE_WAITS * standing->watch_wait) {
+        return true;
+    }
+    /* Until the others are known, the rank among them says nothing. */
+    if (waits_for_peers(standing)) {
+        return false;
+    }
+    return !standing->has_catalogue ||
+           standing->zone_rank < standing->readers_per_zone;
+}
+
+bool
+LrReaders_IsSeed(LrStr seeds, LrStr address)
+{
+    while (seeds.len > 0) {
+        const char *comma = memchr(seeds.ptr, ',', seeds.len);
+        LrStr seed = {.ptr = seeds.ptr, .len = seeds.len};
+        if (comma) {
+            seed.len = (size_t)(comma - seeds.ptr);
+        }
+        if (LrStr_Equal(seed, address)) {
+            return true;
+        }
+        size_t skip = MIN(seeds.len, seed.len + 1);
+        seeds.ptr += skip;
+        seeds.len -= skip;
+    }
+    return false;
+}
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -14,12 +14,12 @@
     SetUp() override
     {
         random = LrRandom_New(1);
-        LrFeedConfig config = {
-            .random = random,
-            .absence_hold = 2200 * LR_MILLISECOND,
-            .retry = 200 * LR_MILLISECOND,
-        };
+        config = {};
+        config.random = random;
+        config.absence_hold = 2200 * LR_MILLISECOND;
+        config.retry = 200 * LR_MILLISECOND;
         feed = LrFeed_New(&config);
+        LrFeed_SetReading(feed, true, 0);
         base = LrStore_New();
     }
 
@@ -98,6 +98,7 @@
     }
 
     LrRandom *random;
+    LrFeedConfig config;
     LrFeed *feed;
     LrStore *base;
     LrTime now = 100 * LR_SECOND;
@@ -219,3 +220,30 @@
     EXPECT_EQ(next().kind, LR_FEED_LIST);
     EXPECT_GT(next().due, now) << "a refused configuration is not read on";
 }
+
+TEST_F(Feed, DoesNotReadBeforeItIsTold)
+{
+    LrFeed *silent = LrFeed_New(&config);
+    EXPECT_EQ(LrFeed_NextCall(silent, base, now).kind, LR_FEED_NOTHING);
+    LrFeed_Free(silent);
+}
+
+TEST_F(Feed, AWholeStoreFromPeersNeedsNoListing)
+{
+    LrStore_Set(base, "instances/a", 7, LrStr_FromC("{}"));
+    LrStore_SetRevision(base, 9);
+    LrFeedCall call = LrFeed_NextCall(feed, base, now);
+    EXPECT_EQ(call.kind, LR_FEED_WATCH);
+    EXPECT_EQ(call.after_revision, 9);
+    events({item("instances/a", 11, ""), item("instances/b", 12, "{}")}, 12);
+    EXPECT_FALSE(LrStore_Has(base, "instances/a", 7));
+    EXPECT_TRUE(LrStore_Has(base, "instances/b", 12));
+}
+
+TEST_F(Feed, AStoreFromPeersWhoseHistoryIsGoneIsListed)
+{
+    LrStore_SetRevision(base, 9);
+    EXPECT_EQ(LrFeed_NextCall(feed, base, now).kind, LR_FEED_WATCH);
+    LrFeed_OnHistoryGone(feed, now);
+    EXPECT_EQ(LrFeed_NextCall(feed, base, now).kind, LR_FEED_LIST);
+}
