aggregators, forward: zones of many daemons: the strongest gather for all

Cause: on the large site (295 hosts, 96 gathers a second of 90 to 135 shards) a host asks a replica every ten seconds. Each finds out anew which targets are slow, has two repeats a window, one connection a target, and, with 0.12 of a core, spends 60 ms on one gather. In a zone of eight daemons or more the strongest, with a sixth of its processors together, gather for the others now. The choice is code of its own (aggregators), without I/O; forward carries it out: handed over, taken over at once, answered. A query that is not taken over in 30 ms goes to a second aggregator, as a repeat in the budget and in the attempts of a shard; one that was taken over and lost ends with 502. Queries go only to a daemon with the same configuration in force. Connections and the budget are divided by those that use them.

Ruled out: peers telling each other of slow targets, which did not pay before (DESIGN); more, weaker aggregators: a gather takes them 60 ms.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -185,7 +185,13 @@
         .isolated =
             LrReach_IsIsolated(LrRouter_Reach(LrEngine_Router(engine))),
     };
-    if (standing.isolated) {
+    if (!standing.isolated &&
+        LrReach_IsToldIsolated(LrRouter_Reach(LrEngine_Router(engine)), now)) {
+        /* Who says so serves few requests, those of this daemon among them. */
+        standing.isolated = true;
+        standing.unserved = 1;
+    }
+    else if (standing.isolated) {
         standing.unserved = LrEngine_UnservedShare(engine, now);
     }
     LrReadiness next = LrReadiness_Next(daemon->readiness, &standing);
@@ -446,6 +452,8 @@
     daemon->client = LrClient_New(loop, 0, (size_t)settings->max_body_bytes);
     start_timers(daemon);
     daemon->leaving = LrLeaving_New();
+    daemon->aggregators = LrAggregators_New(
+        settings->name, settings->zone, LrEngine_Random(daemon->engine), log);
     daemon->relay = LrRelay_New(daemon);
     daemon->yield = LrYield_New(daemon);
     daemon->forwarded = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -486,6 +494,7 @@
     LrRelay_Free(daemon->relay);
     LrLeaving_Free(daemon->leaving);
     LrYield_Free(daemon->yield);
+    LrAggregators_Free(daemon->aggregators);
     LrKeeper_Free(daemon->keeper);
     g_free(daemon);
 }
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -2,6 +2,7 @@
 #ifndef LAVENDERRAIL_DAEMON_H
 #define LAVENDERRAIL_DAEMON_H
 
+#include "aggregators.h"
 #include "contract.h"
 #include "lavenderrail.h"
 #include "readiness.h"
@@ -53,6 +54,7 @@
     GHashTable *sent;
     LrPeers *peers;
     LrMembers *members;
+    LrAggregators *aggregators;
     LrLeaving *leaving;
     LrRelay *relay;
     LrYield *yield;
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -1,5 +1,7 @@
 /* The queries of one daemon: events go in, actions come out. */
 #include "private.h"
+
+#include <math.h>
 #include "reach.h"
 
 /* A gap in the clock of this length is a late wake-up. */
@@ -138,6 +140,8 @@
         .daemons = (const LrPeerSpec *)(void *)engine->peers->data,
         .n_daemons = engine->peers->len,
         .links = engine->links,
+        .n_sharers = engine->view_sharers > 0 ? (size_t)engine->view_sharers
+                                              : engine->peers->len,
         .direct = engine->config.direct,
     };
     LrView *former = engine->view;
@@ -178,6 +182,7 @@
             .name = LrArena_Copy(engine->peers_arena, daemons[i].name),
             .zone = LrArena_Copy(engine->peers_arena, daemons[i].zone),
             .address = LrArena_Copy(engine->peers_arena, daemons[i].address),
+            .speed = daemons[i].speed,
         };
         g_array_append_val(engine->peers, copy);
     }
@@ -187,6 +192,22 @@
     LrArena_Free(former);
 }
 
+/* A change of this share moves connections to other replicas. */
+#define SHARERS_CHANGE 0.25
+
+void
+LrEngine_SetSharers(LrEngine *engine, LrTime now, double sharers)
+{
+    double change = fabs(sharers - engine->view_sharers);
+    engine->sharers = sharers;
+    if (change > SHARERS_CHANGE * engine->view_sharers) {
+        engine->view_sharers = sharers;
+        if (engine->view) {
+            build_view(engine, engine->view->catalogue, now);
+        }
+    }
+}
+
 void
 LrEngine_SetCatalogue(LrEngine *engine, LrTime now, LrCatalogue *catalogue)
 {
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -6,6 +6,8 @@
 
 #include <jansson.h>
 
+#include "aggregators.h"
+#include "forward.h"
 #include "reach.h"
 #include "readers.h"
 
@@ -29,6 +31,9 @@
     [LR_MSG_YIELD_NOTICE] = &LrYieldNoticeMsg_Spec,
     [LR_MSG_BORROW] = &LrBorrowMsg_Spec,
     [LR_MSG_LOAN] = &LrLoanMsg_Spec,
+    [LR_MSG_FORWARD] = &LrForwardMsg_Spec,
+    [LR_MSG_FORWARD_ANSWER] = &LrForwardAnswerMsg_Spec,
+    [LR_MSG_FORWARD_CANCEL] = &LrForwardCancelMsg_Spec,
 };
 
 typedef struct {
@@ -259,10 +264,34 @@
     }
 }
 
+/* Only daemons of a routed contract hand queries over. */
+static void
+dispatch_forward(LrForward *forward, int tag, const void *message)
+{
+    switch (tag) {
+    case LR_MSG_FORWARD:
+        LrForward_OnRequest(forward, message);
+        break;
+    case LR_MSG_FORWARD_ANSWER:
+        LrForward_OnAnswer(forward, message);
+        break;
+    default:
+        LrForward_OnCancel(forward, message);
+        break;
+    }
+}
+
 static void
 dispatch(LrDaemon *daemon, int tag, const void *message)
 {
     switch (tag) {
+    case LR_MSG_FORWARD:
+    case LR_MSG_FORWARD_ANSWER:
+    case LR_MSG_FORWARD_CANCEL:
+        if (daemon->gateway) {
+            dispatch_forward(LrGateway_Forward(daemon->gateway), tag, message);
+        }
+        break;
     case LR_MSG_PROBE:
         on_probe(daemon, message);
         break;
@@ -338,6 +367,9 @@
     LrDaemon *daemon = data;
     LrKeyed_LinkLost(daemon, address);
     LrRelay_LinkLost(daemon->relay, address);
+    if (!daemon->closing && daemon->gateway) {
+        LrForward_LinkLost(LrGateway_Forward(daemon->gateway), address);
+    }
     if (!daemon->closing) {
         LrDaemon_Settle(daemon);
     }
@@ -371,6 +403,29 @@
                          ((const LrPeerSpec *)b)->name);
 }
 
+/* Chooses anew who gathers, among the daemons that are alive. */
+static void
+set_aggregators(LrDaemon *daemon, LrTime now)
+{
+    GArray *alive = g_array_new(FALSE, FALSE, sizeof(LrPeerSpec));
+    for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
+        const LrMember *member = LrMembers_Get(daemon->members, i);
+        if (member->state == LR_MEMBER_ALIVE) {
+            LrPeerSpec peer = {.name = member->name,
+                               .zone = member->zone,
+                               .address = member->address,
+                               .speed = member->speed};
+            g_array_append_val(alive, peer);
+        }
+    }
+    LrAggregators_SetDaemons(daemon->aggregators, now,
+                             (const LrPeerSpec *)(void *)alive->data,
+                             alive->len);
+    g_array_unref(alive);
+    LrEngine_SetSharers(daemon->engine, now,
+                        LrAggregators_Sharers(daemon->aggregators));
+}
+
 /* Tells the engine the daemons that can take relayed work. */
 static void
 set_peers(LrDaemon *daemon, LrTime now)
@@ -382,7 +437,8 @@
             member->state == LR_MEMBER_SUSPECT) {
             LrPeerSpec peer = {.name = member->name,
                                .zone = member->zone,
-                               .address = member->address};
+                               .address = member->address,
+                               .speed = member->speed};
             g_array_append_val(peers, peer);
         }
     }
@@ -406,6 +462,9 @@
     unsigned count;
     unsigned rank = LrMembers_ListRank(daemon->members, &count);
     LrEngine_SetShare(daemon->engine, now, rank, count);
+    if (daemon->gateway) {
+        set_aggregators(daemon, now);
+    }
     set_peers(daemon, now);
     LrEngine_EachWanting(daemon->engine, now, ask_loans, daemon);
     LrDaemon_Settle(daemon);
@@ -418,6 +477,7 @@
         .name = daemon->settings.name,
         .zone = daemon->settings.zone,
         .address = daemon->settings.peer_address,
+        .speed = daemon->settings.speed,
         .incarnation = daemon->incarnation,
         .interval = daemon->settings.probe_ms * LR_MILLISECOND,
         .seeds = daemon->settings.seeds,
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -21,6 +21,8 @@
     }
     LrCatalogue_Unref(routed->catalogue);
     g_free(routed->id);
+    g_free(routed->target);
+    g_free(routed->reply_to);
     g_string_free(routed->head, TRUE);
     if (routed->body) {
         g_bytes_unref(routed->body);
@@ -56,13 +58,11 @@
 }
 
 static LrRouted *
-new_routed(LrGateway *gateway, LrCall *call, const LrRoute *route, LrStr id)
+new_routed(LrGateway *gateway, const LrRoute *route, LrStr id, LrStr target)
 {
-    const LrMessage *message = LrCall_Message(call);
     LrRouted *routed = g_new0(LrRouted, 1);
     routed->refs = 1;
     routed->gateway = gateway;
-    routed->call = call;
     routed->pending = (LrPending){
         .daemon = gateway->daemon,
         .routed = routed,
@@ -71,6 +71,32 @@
         LrCatalogue_Ref(LrEngine_View(gateway->daemon->engine)->catalogue);
     routed->route = route->spec;
     routed->id = LrStr_Dup(id);
+    routed->target = LrStr_Dup(target);
+    return routed;
+}
+
+/* Time that the answer has, of what the caller or the sender said. */
+static LrTime
+deadline_after(LrTime now, LrTime timeout)
+{
+    return timeout > 0 ? now + MAX(1, timeout) : 0;
+}
+
+static LrRouted *
+take_call(LrGateway *gateway, LrCall *call, LrRoute *route,
+          const LrCallerTerms *terms)
+{
+    const LrMessage *message = LrCall_Message(call);
+    LrTime margin =
+        gateway->daemon->settings.answer_margin_ms * LR_MILLISECOND;
+    LrRouted *routed =
+        new_routed(gateway, route, terms->id, LrMessage_Target(message));
+    routed->call = call;
+    routed->entry = LrRoute_NextEntry(route);
+    routed->arrived_at = LrLoop_Now();
+    routed->deadline = deadline_after(
+        routed->arrived_at,
+        terms->timeout > 0 ? MAX(1, terms->timeout - margin) : 0);
     routed->head = g_string_new(NULL);
     routed->bodyless = LrStr_EqualC(LrMessage_Method(message), "HEAD");
     gateway->contract->write_request(message, routed->head);
@@ -79,25 +105,56 @@
     return routed;
 }
 
-static void
-submit(LrGateway *gateway, LrCall *call, LrRoute *route,
-       const LrCallerTerms *terms)
+LrRouted *
+LrGateway_TakeOver(LrGateway *gateway, const LrRoute *route,
+                   const LrForwardMsg *message)
+{
+    LrTime now = LrLoop_Now();
+    LrRouted *routed =
+        new_routed(gateway, route, message->request_id, message->target);
+    routed->entry = LrRoute_OwnEntry(route, message->entry);
+    routed->arrived_at = now - message->spent_us * LR_MICROSECOND;
+    routed->deadline =
+        deadline_after(now, message->timeout_us * LR_MICROSECOND);
+    routed->reply_to = LrStr_Dup(message->reply_to);
+    routed->remote_id = message->id;
+    routed->bodyless = message->bodyless;
+    routed->head =
+        g_string_new_len(message->head.ptr, (gssize)message->head.len);
+    if (message->body.len > 0) {
+        routed->body = g_bytes_new(message->body.ptr, message->body.len);
+    }
+    return routed;
+}
+
+void
+LrGateway_Gather(LrGateway *gateway, LrRouted *routed, bool repeated)
 {
-    const LrMessage *message = LrCall_Message(call);
     LrDaemon *daemon = gateway->daemon;
-    LrTime margin = daemon->settings.answer_margin_ms * LR_MILLISECOND;
-    LrRouted *routed = new_routed(gateway, call, route, terms->id);
+    LrTime now = LrLoop_Now();
     LrRequest request = {
-        .entry = LrRoute_NextEntry(route),
+        .entry = routed->entry,
         .body = routed->body,
-        .identity = LrMessage_Target(message),
-        .timeout = terms->timeout > 0 ? MAX(1, terms->timeout - margin) : 0,
+        .identity = LrStr_FromC(routed->target),
+        .spent = now - routed->arrived_at,
+        .repeated = repeated,
+        .timeout = routed->deadline > 0 ? MAX(1, routed->deadline - now) : 0,
         .data = &routed->pending,
     };
+    routed->pending.query = LrEngine_Submit(daemon->engine, now, &request);
+}
+
+static void
+submit(LrGateway *gateway, LrCall *call, LrRoute *route,
+       const LrCallerTerms *terms)
+{
+    LrDaemon *daemon = gateway->daemon;
+    LrRouted *routed = take_call(gateway, call, route, terms);
     routed->refs++;
     LrCounters_Add(daemon->counters, LR_COUNT_ROUTED_REQUESTS, 1);
-    routed->pending.query =
-        LrEngine_Submit(daemon->engine, LrLoop_Now(), &request);
+    if (!LrForward_Send(gateway->forward, routed, false)) {
+        LrGateway_Gather(gateway, routed, false);
+    }
     LrRouted_Unref(routed);
     LrDaemon_Settle(daemon);
 }
@@ -149,7 +206,8 @@
            LrLog_Int("ms", (LrLoop_Now() - LrCall_ArrivedAt(call)) /
                                LR_MILLISECOND));
     /* An answer that is on its way already ends the request itself. */
-    if (LrEngine_Cancel(gateway->daemon->engine, LrLoop_Now(),
+    if (LrForward_Cancel(gateway->forward, routed) ||
+        LrEngine_Cancel(gateway->daemon->engine, LrLoop_Now(),
                         routed->pending.query)) {
         LrRouted_Unref(routed);
     }
@@ -227,6 +285,7 @@
     gateway->contract = contract;
     gateway->timers = LrLoopTimers_New(daemon->loop);
     gateway->attempts = LrGateway_NewAttempts();
+    gateway->forward = LrForward_New(gateway);
     LrUpstreamConfig upstream = {
         .loop = daemon->loop,
         .timers = gateway->timers,
@@ -256,6 +315,7 @@
         return;
     }
     LrCallers_Free(gateway->callers);
+    LrForward_Free(gateway->forward);
     LrUpstream_Free(gateway->upstream);
     g_hash_table_unref(gateway->attempts);
     LrLoopTimers_Free(gateway->timers);
@@ -268,6 +328,12 @@
     LrCallers_SetDraining(gateway->callers, draining);
 }
 
+LrForward *
+LrGateway_Forward(LrGateway *gateway)
+{
+    return gateway->forward;
+}
+
 void
 LrGateway_Quiesce(LrGateway *gateway)
 {
--- a/liblavenderrail/gateway.h
+++ b/liblavenderrail/gateway.h
@@ -26,6 +26,8 @@
 void LrGateway_Quiesce(LrGateway *gateway);
 /* Whether nothing is being worked on or answered. */
 bool LrGateway_IsIdle(const LrGateway *gateway);
+/* Queries handed to other daemons and taken over from them. */
+struct LrForward *LrGateway_Forward(LrGateway *gateway);
 struct json_t *LrGateway_Dump(const LrGateway *gateway);
 
 #endif
--- a/liblavenderrail/gateway_answer.c
+++ b/liblavenderrail/gateway_answer.c
@@ -96,7 +96,7 @@
         gateway->n_complete++ % LOG_SAMPLE != 0) {
         return;
     }
-    LrTime taken = LrLoop_Now() - LrCall_ArrivedAt(routed->call);
+    LrTime taken = LrLoop_Now() - routed->arrived_at;
     LR_LOG(gateway->daemon->log, LOG_INFO, "request_answered",
            LrLog_C("id", routed->id), LrLog_Str("route", routed->route->name),
            LrLog_C("outcome", LrOutcome_Names[answer->outcome]),
@@ -119,10 +119,45 @@
     }
 }
 
+/* Takes head, body and the caller's hold of the request. */
+static void
+reply_to_caller(LrRouted *routed, GString *head, GBytes *body)
+{
+    LrCall *call = routed->call;
+    routed->call = NULL;
+    LrCall_SetData(call, NULL);
+    LrCall_Reply(call, head, body, false);
+    g_string_free(head, TRUE);
+    LrRouted_Unref(routed);
+}
+
+void
+LrGateway_PassOn(LrRouted *routed, LrStr head, LrStr body)
+{
+    GBytes *bytes = body.len > 0 ? g_bytes_new(body.ptr, body.len) : NULL;
+    reply_to_caller(routed, g_string_new_len(head.ptr, (gssize)head.len),
+                    bytes);
+}
+
+void
+LrGateway_GiveUp(LrGateway *gateway, LrRouted *routed, unsigned status)
+{
+    GString *head = g_string_new(NULL);
+    gateway->contract->write_own(status, 0, head);
+    LR_LOG(
+        gateway->daemon->log, LOG_INFO, "request_answered",
+        LrLog_C("id", routed->id), LrLog_Str("route", routed->route->name),
+        LrLog_C("outcome", LrOutcome_Names[LR_OUTCOME_UNKNOWN]),
+        LrLog_C("reason", LrReason_Names[LR_REASON_TARGET_FAILED]),
+        LrLog_Int("status", status),
+        LrLog_Int("ms", (LrLoop_Now() - routed->arrived_at) / LR_MILLISECOND));
+    reply_to_caller(routed, head, NULL);
+}
+
 void
 LrGateway_Answered(LrRouted *routed, const LrAnswer *answer)
 {
-    if (!routed->call) {
+    if (!routed->call && !routed->reply_to) {
         LrRouted_Unref(routed);
         return;
     }
@@ -130,11 +165,14 @@
     unsigned status;
     GBytes *body = compose(routed, answer, head, &status);
     log_answer(routed, answer, status);
-    LrCall *call = routed->call;
-    routed->call = NULL;
     routed->incomplete = answer->outcome != LR_OUTCOME_COMPLETE;
-    LrCall_SetData(call, NULL);
-    LrCall_Reply(call, head, body, false);
-    g_string_free(head, TRUE);
-    LrRouted_Unref(routed);
+    if (routed->reply_to) {
+        LrForward_Answer(routed->gateway->forward, routed, status, head, body);
+        g_clear_pointer(&body, g_bytes_unref);
+        g_string_free(head, TRUE);
+        LrRouted_Unref(routed);
+    }
+    else {
+        reply_to_caller(routed, head, body);
+    }
 }
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -3,6 +3,7 @@
 #define LAVENDERRAIL_GATEWAY_PRIVATE_H
 
 #include "callers.h"
+#include "forward.h"
 #include "gateway.h"
 #include "routing.h"
 #include "upstream.h"
@@ -22,11 +23,13 @@
     LrCallers *callers;
     LrUpstream *upstream;
     GHashTable *attempts;
+    LrForward *forward;
     /* Complete answers, of which a sample is logged. */
     uint64_t n_complete;
 };
 
-/* One request of a caller. Attempts hold it until they have ended. */
+/* One request of a caller, here or at another daemon. Attempts hold it until
+ * they have ended. */
 struct LrRouted {
     LrPending pending;
     int refs;
@@ -35,7 +38,20 @@
     LrCall *call;
     LrCatalogue *catalogue;
     const LrRouteSpec *route;
+    /* Entry of the catalogue that it was given to. */
+    LrStr entry;
     char *id;
+    char *target;
+    LrTime arrived_at;
+    /* When the answer has to be on its way; 0 when the caller set no time. */
+    LrTime deadline;
+    /* Number under which it was handed to an aggregator; 0 when it was not. */
+    int64_t handed;
+    /* Aggregators that were asked so far. */
+    unsigned n_handed;
+    /* The daemon that handed it over, and its number there; NULL for none. */
+    char *reply_to;
+    int64_t remote_id;
     GString *head;
     GBytes *body;
     bool bodyless;
@@ -46,6 +62,13 @@
 
 /* gateway.c */
 void LrRouted_Unref(LrRouted *routed);
+/* Gives a request to the engine. repeated: another daemon may have begun it,
+ * so that its attempts are repeats. */
+void LrGateway_Gather(LrGateway *gateway, LrRouted *routed, bool repeated);
+/* A request that another daemon handed over; it holds itself until it is
+ * answered or cancelled. */
+LrRouted *LrGateway_TakeOver(LrGateway *gateway, const LrRoute *route,
+                             const LrForwardMsg *message);
 
 /* gateway_attempt.c */
 /* Table of the attempts under way, by id. */
@@ -54,5 +77,9 @@
 /* gateway_answer.c */
 /* When callers may come back, by why they were refused. */
 LrTime LrGateway_RetryAfter(LrReason reason);
+/* Gives the caller the answer that an aggregator made. */
+void LrGateway_PassOn(LrRouted *routed, LrStr head, LrStr body);
+/* Ends a request whose aggregator was lost. */
+void LrGateway_GiveUp(LrGateway *gateway, LrRouted *routed, unsigned status);
 
 #endif
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -77,6 +77,13 @@
     NULL,
 };
 
+const char *const LrForwardStep_Names[] = {
+    "accepted",
+    "declined",
+    "answered",
+    NULL,
+};
+
 static const LrFieldSpec LrTargetSpec_Fields[] = {
     {.name = "name",
      .kind = LR_FIELD_STR,
@@ -886,6 +893,13 @@
      .min = 1,
      .max = 1000000,
      .fallback = 200},
+    {.name = "speed",
+     .kind = LR_FIELD_REAL,
+     .offset = offsetof(LrSettings, speed),
+     .hint = "share of a processor that this daemon has, to compare it with others",
+     .min = 0.001,
+     .max = 1024,
+     .fallback = 1},
 };
 
 const LrObjectSpec LrSettings_Spec = {
@@ -967,6 +981,13 @@
      .offset = offsetof(LrMemberMsg, listed),
      .hint = "whether the host list names it; false counts for a dead member only",
      .fallback = 1},
+    {.name = "speed",
+     .kind = LR_FIELD_REAL,
+     .offset = offsetof(LrMemberMsg, speed),
+     .hint = "share of a processor that the member has",
+     .min = 0,
+     .max = 1024,
+     .fallback = 1},
 };
 
 const LrObjectSpec LrMemberMsg_Spec = {
@@ -1632,6 +1653,164 @@
     .n_fields = G_N_ELEMENTS(LrLoanMsg_Fields),
 };
 
+static const LrFieldSpec LrForwardMsg_Fields[] = {
+    {.name = "id",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardMsg, id),
+     .hint = "number of the query at its sender",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "reply_to",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardMsg, reply_to),
+     .hint = "peer IP:port of the sender",
+     .required = true},
+    {.name = "config",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardMsg, config),
+     .hint = "version of the configuration that the sender has in force",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "route",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardMsg, route),
+     .hint = "name of the route",
+     .required = true},
+    {.name = "entry",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardMsg, entry),
+     .hint = "catalogue entry that was chosen",
+     .required = true},
+    {.name = "request_id",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardMsg, request_id),
+     .hint = "the caller's id of the request",
+     .required = true},
+    {.name = "target",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardMsg, target),
+     .hint = "request target, which tells the request from others",
+     .required = true},
+    {.name = "head",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardMsg, head),
+     .hint = "request line and headers for targets",
+     .required = true},
+    {.name = "body",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardMsg, body),
+     .hint = "request body",
+     .fallback_str = ""},
+    {.name = "bodyless",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrForwardMsg, bodyless),
+     .hint = "whether responses have no body",
+     .fallback = 0},
+    {.name = "spent_us",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardMsg, spent_us),
+     .hint = "time since the request came and for the way, microseconds",
+     .required = true,
+     .min = 0,
+     .max = 600000000},
+    {.name = "timeout_us",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardMsg, timeout_us),
+     .hint = "time that the answer has, microseconds; 0 when the caller gave none",
+     .required = true,
+     .min = 0,
+     .max = 2147483647000},
+    {.name = "repeated",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrForwardMsg, repeated),
+     .hint = "whether another daemon may have begun the query",
+     .fallback = 0},
+};
+
+const LrObjectSpec LrForwardMsg_Spec = {
+    .name = "LrForwardMsg",
+    .size = sizeof(LrForwardMsg),
+    .tag = 15,
+    .fields = LrForwardMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrForwardMsg_Fields),
+};
+
+static const LrFieldSpec LrForwardAnswerMsg_Fields[] = {
+    {.name = "id",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardAnswerMsg, id),
+     .hint = "number of the query at its sender",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "request_id",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardAnswerMsg, request_id),
+     .hint = "the caller's id of the request, since numbers are used again",
+     .required = true},
+    {.name = "step",
+     .kind = LR_FIELD_ENUM,
+     .offset = offsetof(LrForwardAnswerMsg, step),
+     .hint = "what this message says",
+     .choices = LrForwardStep_Names,
+     .fallback = 1},
+    {.name = "status",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardAnswerMsg, status),
+     .hint = "HTTP status",
+     .min = 0,
+     .max = 999,
+     .fallback = 0},
+    {.name = "head",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardAnswerMsg, head),
+     .hint = "status line and headers of the answer",
+     .fallback_str = ""},
+    {.name = "body",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardAnswerMsg, body),
+     .hint = "body of the answer",
+     .fallback_str = ""},
+    {.name = "isolated",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrForwardAnswerMsg, isolated),
+     .hint = "whether the daemon is cut off and can serve little",
+     .fallback = 0},
+};
+
+const LrObjectSpec LrForwardAnswerMsg_Spec = {
+    .name = "LrForwardAnswerMsg",
+    .size = sizeof(LrForwardAnswerMsg),
+    .tag = 16,
+    .fields = LrForwardAnswerMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrForwardAnswerMsg_Fields),
+};
+
+static const LrFieldSpec LrForwardCancelMsg_Fields[] = {
+    {.name = "id",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardCancelMsg, id),
+     .hint = "number of the query at its sender",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "reply_to",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardCancelMsg, reply_to),
+     .hint = "peer IP:port of the sender",
+     .required = true},
+};
+
+const LrObjectSpec LrForwardCancelMsg_Spec = {
+    .name = "LrForwardCancelMsg",
+    .size = sizeof(LrForwardCancelMsg),
+    .tag = 17,
+    .fields = LrForwardCancelMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrForwardCancelMsg_Fields),
+};
+
 const char *const LrCounterId_Names[] = {
     "queries",
     "complete",
@@ -1680,6 +1859,10 @@
     "bad_records",
     "lines_dropped",
     "source_failures",
+    "forwarded",
+    "forward_served",
+    "forward_declined",
+    "forward_lost",
 };
 
 const char *const LrCounterId_Help[] = {
@@ -1730,6 +1913,10 @@
     "Entries of the configuration service passed over.",
     "Log lines dropped.",
     "Failed calls to the configuration service.",
+    "Queries handed to an aggregator.",
+    "Queries gathered for other daemons.",
+    "Queries that an aggregator did not take over.",
+    "Queries whose aggregator was silent or lost.",
 };
 
 /* clang-format on */
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -92,6 +92,15 @@
 } LrMemberState;
 extern const char *const LrMemberState_Names[];
 
+/* What a daemon says of a query that it was handed. */
+typedef enum {
+    LR_FORWARD_ACCEPTED,
+    LR_FORWARD_DECLINED,
+    LR_FORWARD_ANSWERED,
+    LR_FORWARD_COUNT
+} LrForwardStep;
+extern const char *const LrForwardStep_Names[];
+
 /* One searcher as the catalogue names it. */
 typedef struct {
     /* a unique name, such as archive-0-a */
@@ -384,6 +393,8 @@
     bool first_start;
     /* log lines about single requests in a second */
     int64_t log_lines_per_s;
+    /* share of a processor that this daemon has, to compare it with others */
+    double speed;
 } LrSettings;
 extern const LrObjectSpec LrSettings_Spec;
 
@@ -415,6 +426,8 @@
     LrMemberState state;
     /* whether the host list names it; false counts for a dead member only */
     bool listed;
+    /* share of a processor that the member has */
+    double speed;
 } LrMemberMsg;
 extern const LrObjectSpec LrMemberMsg_Spec;
 
@@ -686,6 +699,68 @@
 extern const LrObjectSpec LrLoanMsg_Spec;
 #define LR_MSG_LOAN 14
 
+/* A query that another daemon is to gather. */
+typedef struct {
+    /* number of the query at its sender */
+    int64_t id;
+    /* peer IP:port of the sender */
+    LrStr reply_to;
+    /* version of the configuration that the sender has in force */
+    int64_t config;
+    /* name of the route */
+    LrStr route;
+    /* catalogue entry that was chosen */
+    LrStr entry;
+    /* the caller's id of the request */
+    LrStr request_id;
+    /* request target, which tells the request from others */
+    LrStr target;
+    /* request line and headers for targets */
+    LrStr head;
+    /* request body */
+    LrStr body;
+    /* whether responses have no body */
+    bool bodyless;
+    /* time since the request came and for the way, microseconds */
+    int64_t spent_us;
+    /* time that the answer has, microseconds; 0 when the caller gave none */
+    int64_t timeout_us;
+    /* whether another daemon may have begun the query */
+    bool repeated;
+} LrForwardMsg;
+extern const LrObjectSpec LrForwardMsg_Spec;
+#define LR_MSG_FORWARD 15
+
+/* What became of a query that was handed over. */
+typedef struct {
+    /* number of the query at its sender */
+    int64_t id;
+    /* the caller's id of the request, since numbers are used again */
+    LrStr request_id;
+    /* what this message says */
+    LrForwardStep step;
+    /* HTTP status */
+    int64_t status;
+    /* status line and headers of the answer */
+    LrStr head;
+    /* body of the answer */
+    LrStr body;
+    /* whether the daemon is cut off and can serve little */
+    bool isolated;
+} LrForwardAnswerMsg;
+extern const LrObjectSpec LrForwardAnswerMsg_Spec;
+#define LR_MSG_FORWARD_ANSWER 16
+
+/* A query that was handed over and is not wanted any more. */
+typedef struct {
+    /* number of the query at its sender */
+    int64_t id;
+    /* peer IP:port of the sender */
+    LrStr reply_to;
+} LrForwardCancelMsg;
+extern const LrObjectSpec LrForwardCancelMsg_Spec;
+#define LR_MSG_FORWARD_CANCEL 17
+
 /* Counters of a daemon. */
 typedef enum {
     LR_COUNT_QUERIES,
@@ -735,6 +810,10 @@
     LR_COUNT_BAD_RECORDS,
     LR_COUNT_LINES_DROPPED,
     LR_COUNT_SOURCE_FAILURES,
+    LR_COUNT_FORWARDED,
+    LR_COUNT_FORWARD_SERVED,
+    LR_COUNT_FORWARD_DECLINED,
+    LR_COUNT_FORWARD_LOST,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -619,6 +619,8 @@
     LrStr zone;
     /* Peer IP:port. */
     LrStr address;
+    /* Share of a processor. */
+    double speed;
 } LrPeerSpec;
 
 /* Number of daemons that may connect to a target with so many connections,
@@ -647,6 +649,9 @@
     const LrPeerSpec *daemons;
     size_t n_daemons;
     uint32_t links;
+    /* Daemons that a target's connections are divided by, where every daemon
+     * talks to every target. */
+    size_t n_sharers;
     /* Every daemon talks to every target. */
     bool direct;
 } LrTopology;
@@ -869,6 +874,7 @@
     LrStr name;
     LrStr zone;
     LrStr address;
+    double speed;
     int64_t incarnation;
     int64_t serial;
     LrMemberState state;
@@ -883,6 +889,8 @@
     LrStr zone;
     /* Peer IP:port of this daemon. */
     LrStr address;
+    /* Share of a processor that this daemon has. */
+    double speed;
     int64_t incarnation;
     LrTime interval;
     /* Peer addresses to join by, joined by commas; borrowed. Empty where a
@@ -975,6 +983,11 @@
      * request. It is never relayed again. */
     LrStr shard;
     int64_t version;
+    /* Time that passed before, of what the entry's deadlines allow. */
+    LrTime spent;
+    /* Another daemon may have begun the request: its first attempts are
+     * repeats to the targets, and paid for as such. */
+    bool repeated;
     void *data;
 } LrRequest;
 
@@ -1053,6 +1066,11 @@
 void LrEngine_SetPeers(LrEngine *engine, LrTime now, LrStr self,
                        const LrPeerSpec *daemons, size_t n_daemons,
                        uint32_t links);
+/* Daemons that share what is limited over the fleet, as this one has to
+ * reckon: connections to targets where every daemon talks to every target,
+ * and the budget of repeats. 0 for all that LrEngine_SetPeers and
+ * LrEngine_SetShare name. */
+void LrEngine_SetSharers(LrEngine *engine, LrTime now, double sharers);
 LrView *LrEngine_View(LrEngine *engine);
 LrRouter *LrEngine_Router(LrEngine *engine);
 LrQuarantine *LrEngine_Quarantine(LrEngine *engine);
--- a/liblavenderrail/member.c
+++ b/liblavenderrail/member.c
@@ -92,6 +92,7 @@
     members->self =
         add_member(members, config->name, config->zone, config->address, now);
     members->self->incarnation = config->incarnation;
+    members->self->speed = config->speed;
     members->self->listed = true;
     members->ticked_at = now;
     return members;
@@ -205,6 +206,7 @@
     member->serial = claim->serial;
     set_str(&member->zone, claim->zone);
     set_str(&member->address, claim->address);
+    member->speed = claim->speed;
     change_state(members, member, claim->state, now);
 }
 
@@ -252,6 +254,7 @@
         .serial = member->serial,
         .state = member->state,
         .listed = member->listed,
+        .speed = member->speed,
     };
 }
 
--- a/liblavenderrail/peer.c
+++ b/liblavenderrail/peer.c
@@ -162,27 +162,33 @@
     return error == 0;
 }
 
-static void
-on_writable(struct ev_loop *loop, ev_io *watcher, int events)
+/* Writes what the socket takes; false when the link is broken. */
+static bool
+write_out(Link *link)
 {
-    (void)events;
-    Link *link = watcher->data;
-    if (link->connecting && !finish_connect(link)) {
-        close_link(link);
-        return;
-    }
     size_t left = link->out->len - link->n_written;
     ssize_t sent = send(link->fd, link->out->data + link->n_written, left,
                         MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sent < 0 && errno != EAGAIN && errno != EINTR) {
-        close_link(link);
-        return;
+        return false;
     }
     link->n_written += sent > 0 ? (size_t)sent : 0;
     if (link->n_written == link->out->len) {
         g_byte_array_set_size(link->out, 0);
         link->n_written = 0;
-        ev_io_stop(loop, watcher);
+        ev_io_stop(link->peers->config.loop, &link->writable);
+    }
+    return true;
+}
+
+static void
+on_writable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    Link *link = watcher->data;
+    if ((link->connecting && !finish_connect(link)) || !write_out(link)) {
+        close_link(link);
     }
 }
 
@@ -271,6 +277,11 @@
     append_frame(link, frame);
     g_byte_array_unref(frame);
     link->used_at = LrLoop_Now();
+    /* At once: the work of the current event may take longer than the way. A
+     * broken link is closed by its watcher. */
+    if (!link->connecting) {
+        write_out(link);
+    }
     return true;
 }
 
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -67,6 +67,8 @@
     LrClass klass;
     bool call;
     bool single_run;
+    /* Another daemon may have begun it. */
+    bool repeated;
     uint64_t route_hash;
     LrStr key;
     GBytes *body;
@@ -126,6 +128,10 @@
     LrArena *peers_arena;
     uint64_t peers_digest;
     uint32_t links;
+    /* Daemons that share what is limited over the fleet; 0 for all. */
+    double sharers;
+    /* The figure that the view was built with. */
+    double view_sharers;
 };
 
 /* attempt.c */
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -174,6 +174,9 @@
     query->body = request->body ? g_bytes_ref(request->body) : NULL;
     query->key =
         (LrStr){.ptr = LrStr_Dup(request->key), .len = request->key.len};
+    query->repeated = request->repeated;
+    /* What another daemon began is never proven not to have run. */
+    query->n_unproven = request->repeated;
     query->klass = LR_CLASS_ROUTINE;
     query->started_at = now;
     query->hedge_at = LR_NEVER;
@@ -203,15 +206,15 @@
         return LR_REASON_UNKNOWN_ENTRY;
     }
     const LrEntrySpec *spec = query->entry->spec;
-    LrTime hard = spec->deadline_ms * LR_MILLISECOND;
+    LrTime hard = spec->deadline_ms * LR_MILLISECOND - request->spent;
     if (request->timeout > 0) {
         hard = MIN(hard, request->timeout);
     }
     query->klass = spec->klass;
     query->single_run = !spec->idempotent;
     query->hard_at = now + hard;
-    query->soft_at =
-        MIN(query->hard_at, now + spec->soft_deadline_ms * LR_MILLISECOND);
+    LrTime soft = spec->soft_deadline_ms * LR_MILLISECOND - request->spent;
+    query->soft_at = MIN(query->hard_at, now + soft);
     query->soft_at = MAX(now, query->soft_at - engine->config.answer_margin);
     LrStr route = request->routing_key;
     query->route_hash = route.len ? LrStr_Hash(route, 0) : query->fingerprint;
--- a/liblavenderrail/reach.c
+++ b/liblavenderrail/reach.c
@@ -26,6 +26,8 @@
 struct LrReach {
     LrStr own;
     LrTime judged_at;
+    /* Last time that another daemon said that this zone is isolated. */
+    LrTime told_at;
     LrLog *log;
     GPtrArray *zones;
 };
@@ -177,3 +179,22 @@
     }
     return n_others > 0;
 }
+
+void
+LrReach_ToldIsolated(LrReach *reach, LrTime now)
+{
+    reach->told_at = now;
+}
+
+bool
+LrReach_IsToldIsolated(const LrReach *reach, LrTime now)
+{
+    for (guint i = 0; i < reach->zones->len; i++) {
+        const LrZone *zone = reach->zones->pdata[i];
+        if (!zone->own && (zone->heard_at >= reach->told_at ||
+                           now - zone->heard_at < SILENCE)) {
+            return false;
+        }
+    }
+    return reach->told_at > 0;
+}
--- a/liblavenderrail/reach.h
+++ b/liblavenderrail/reach.h
@@ -43,6 +43,12 @@
 /* Whether every other zone that has targets, of one or more, is cut off from
  * this one. */
 bool LrReach_IsIsolated(const LrReach *reach);
+/* A daemon of the own zone that asks more of the targets says that the zone
+ * is isolated. */
+void LrReach_ToldIsolated(LrReach *reach, LrTime now);
+/* Whether that was said, and nothing speaks against it: no other zone has been
+ * heard since, for as long as makes a cut. */
+bool LrReach_IsToldIsolated(const LrReach *reach, LrTime now);
 
 #ifdef __cplusplus
 }
--- a/liblavenderrail/routing.c
+++ b/liblavenderrail/routing.c
@@ -446,6 +446,32 @@
     return route;
 }
 
+LrRoute *
+LrRoutes_Find(const LrRoutes *routes, LrStr name)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, routes->by_place);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        LrRoute *route = value;
+        if (LrStr_Equal(route->spec->name, name)) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+LrStr
+LrRoute_OwnEntry(const LrRoute *route, LrStr entry)
+{
+    for (size_t i = 0; i < route->n_backends; i++) {
+        if (LrStr_Equal(route->backends[i].entry, entry)) {
+            return route->backends[i].entry;
+        }
+    }
+    return LrStr_FromC("");
+}
+
 LrStr
 LrRoute_NextEntry(LrRoute *route)
 {
--- a/liblavenderrail/routing.h
+++ b/liblavenderrail/routing.h
@@ -40,6 +40,11 @@
 const LrRoutingSpec *LrRoutes_Spec(const LrRoutes *routes);
 /* The route of a request; host may have a port. NULL when there is none. */
 LrRoute *LrRoutes_Lookup(const LrRoutes *routes, LrStr host, LrStr path);
+/* The route of that name; NULL when there is none. */
+LrRoute *LrRoutes_Find(const LrRoutes *routes, LrStr name);
+/* The route's own copy of the name of one of its entries; empty when it is
+ * not among them. */
+LrStr LrRoute_OwnEntry(const LrRoute *route, LrStr entry);
 /* The next backend of a route, so that each gets its weight of the requests
  * in any stretch of them. */
 LrStr LrRoute_NextEntry(LrRoute *route);
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -147,7 +147,7 @@
 mark_spares(LrGroup *group, uint32_t connections, const LrTopology *topology)
 {
     size_t n = group->n_replicas;
-    size_t used = LrSubset_Replicas(connections, n, topology->n_daemons);
+    size_t used = LrSubset_Replicas(connections, n, topology->n_sharers);
     Ranked *ranked = g_new0(Ranked, n + 1);
     for (size_t i = 0; i < n; i++) {
         ranked[i].target = group->replicas[i];
@@ -249,7 +249,10 @@
         map->groups[i].state = group_state(states, group->name);
         if (chosen.direct) {
             build_direct(view, &map->groups[i], group,
-                         LrSubset_Links(connections, chosen.size), now);
+                         LrSubset_Links(connections, topology->direct
+                                                         ? topology->n_sharers
+                                                         : chosen.size),
+                         now);
             mark_spares(&map->groups[i], connections, topology);
         }
         else {
--- a/tests/routed.h
+++ b/tests/routed.h
@@ -109,7 +109,8 @@
 
 class RoutedFleet {
   public:
-    RoutedFleet(int first_port, int n_daemons) : base(first_port)
+    RoutedFleet(int first_port, int n_daemons, int zones = 3)
+        : base(first_port), n_zones(zones)
     {
         standin = std::make_unique<Process>(
             std::vector<std::string>{LR_BIN "/lr-standin-routed", "--store",
@@ -142,50 +143,52 @@
         if (config_url.empty()) {
             config_url = "http://" + address(0);
         }
-        std::vector<std::string> arguments = {LR_BIN "/lavenderraild",
-                                              "--contract",
-                                              "platform",
-                                              "--name",
-                                              "h" + std::to_string(i),
-                                              "--zone",
-                                              "z" + std::to_string(i % 3),
-                                              "--listen",
-                                              address(10 * i + 1),
-                                              "--operator-listen",
-                                              address(10 * i + 2),
-                                              "--peer-listen",
-                                              address(10 * i + 3),
-                                              "--seeds",
-                                              address(13) + "," + address(23),
-                                              "--config-url",
-                                              config_url,
-                                              "--probe-ms",
-                                              "100",
-                                              "--watch-wait-ms",
-                                              "1000",
-                                              "--watch-retry-ms",
-                                              "100",
-                                              "--drain-wait-ms",
-                                              "600",
-                                              "--stop-limit-ms",
-                                              "4000",
-                                              "--budget-ratio",
-                                              "0.2",
-                                              "--budget-extra",
-                                              "200",
-                                              "--hedge-medians",
-                                              "3",
-                                              "--linger-ms",
-                                              "300",
-                                              "--connect-timeout-ms",
-                                              "200",
-                                              "--absence-hold-ms",
-                                              "1500",
-                                              "--log-level",
-                                              std::getenv("LR_TEST_LOG") ? "6"
-                                                                         : "3",
-                                              "--seed",
-                                              std::to_string(i)};
+        std::vector<std::string> arguments = {
+            LR_BIN "/lavenderraild",
+            "--contract",
+            "platform",
+            "--name",
+            "h" + std::to_string(i),
+            "--zone",
+            "z" + std::to_string(i % n_zones),
+            "--speed",
+            i <= N_STRONG ? "0.5" : "0.12",
+            "--listen",
+            address(10 * i + 1),
+            "--operator-listen",
+            address(10 * i + 2),
+            "--peer-listen",
+            address(10 * i + 3),
+            "--seeds",
+            address(13) + "," + address(23),
+            "--config-url",
+            config_url,
+            "--probe-ms",
+            "100",
+            "--watch-wait-ms",
+            "1000",
+            "--watch-retry-ms",
+            "100",
+            "--drain-wait-ms",
+            "600",
+            "--stop-limit-ms",
+            "4000",
+            "--budget-ratio",
+            "0.2",
+            "--budget-extra",
+            "200",
+            "--hedge-medians",
+            "3",
+            "--linger-ms",
+            "300",
+            "--connect-timeout-ms",
+            "200",
+            "--absence-hold-ms",
+            "1500",
+            "--log-level",
+            std::getenv("LR_TEST_LOG") ? "6" : "3",
+            "--seed",
+            std::to_string(i)};
         daemons[(size_t)i] = std::make_unique<Process>(arguments);
     }
     bool
@@ -310,7 +313,11 @@
         return servers;
     }
 
+    // The first daemons are on stronger hosts.
+    static constexpr int N_STRONG = 3;
+
     int base;
+    int n_zones;
     std::unique_ptr<Process> standin;
     std::vector<std::unique_ptr<Process>> daemons;
 };
--- /dev/null
+++ b/tests/test_aggregators.cc
@@ -0,0 +1,220 @@
+// Who gathers for whom, and what it is worth: the load of a fleet of hundreds
+// of daemons, each of which asks a target seldom.
+#include "aggregators.h"
+
+#include <cmath>
+#include <memory>
+
+#include "routed_world.h"
+
+namespace {
+
+class Zone {
+  public:
+    Zone(int n_strong, int n_weak, const std::string &self)
+    {
+        for (int i = 0; i < n_strong + n_weak; i++) {
+            names.push_back("d" + std::to_string(i));
+            addresses.push_back("10.0.0." + std::to_string(i) + ":1");
+        }
+        for (size_t i = 0; i < names.size(); i++) {
+            daemons.push_back({LrStr_FromC(names[i].c_str()),
+                               LrStr_FromC("z0"),
+                               LrStr_FromC(addresses[i].c_str()),
+                               (int)i < n_strong ? 0.5 : 0.12});
+        }
+        random = LrRandom_New(7);
+        aggregators = LrAggregators_New(LrStr_FromC(self.c_str()),
+                                        LrStr_FromC("z0"), random, nullptr);
+    }
+    ~Zone()
+    {
+        LrAggregators_Free(aggregators);
+        LrRandom_Free(random);
+    }
+    void
+    meet(size_t n)
+    {
+        LrAggregators_SetDaemons(aggregators, now, daemons.data(), n);
+    }
+    // Knows everyone, and has for long enough.
+    void
+    settle()
+    {
+        meet(daemons.size());
+        now += 2 * LR_SECOND;
+        meet(daemons.size());
+    }
+    std::string
+    pick()
+    {
+        LrStr address = LrAggregators_Pick(aggregators, now);
+        return {address.ptr, address.len};
+    }
+    std::map<std::string, int>
+    picks(int n)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < n; i++) {
+            counts[pick()]++;
+        }
+        return counts;
+    }
+
+    std::vector<std::string> names;
+    std::vector<std::string> addresses;
+    std::vector<LrPeerSpec> daemons;
+    LrRandom *random;
+    LrAggregators *aggregators;
+    LrTime now = 100 * LR_SECOND;
+};
+
+} // namespace
+
+TEST(Aggregators, DaemonsOfASmallZoneGatherForThemselves)
+{
+    Zone zone(3, 4, "d5");
+    zone.settle();
+    EXPECT_EQ(zone.pick(), "");
+    EXPECT_EQ(LrAggregators_Count(zone.aggregators), 7U);
+    EXPECT_EQ(LrAggregators_Sharers(zone.aggregators), 7);
+}
+
+TEST(Aggregators, TheStrongestOfALargeZoneGatherByTheirStrength)
+{
+    Zone zone(3, 55, "d20");
+    zone.settle();
+    EXPECT_EQ(LrAggregators_Count(zone.aggregators), 3U);
+    std::map<std::string, int> picks = zone.picks(3000);
+    ASSERT_EQ(picks.size(), 3U);
+    for (const char *address : {"10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"}) {
+        EXPECT_NEAR(picks[address], 1000, 150) << address;
+    }
+    Zone strong(3, 55, "d1");
+    strong.settle();
+    EXPECT_TRUE(LrAggregators_IsSelf(strong.aggregators));
+    EXPECT_EQ(strong.pick(), "") << "an aggregator gathers its own";
+}
+
+TEST(Aggregators, ManyWeakDaemonsTakeThePlaceOfFewStrongOnes)
+{
+    Zone zone(0, 60, "d20");
+    zone.settle();
+    EXPECT_EQ(LrAggregators_Count(zone.aggregators), 10U);
+}
+
+TEST(Aggregators, ADaemonThatJustStartedGathersForItself)
+{
+    Zone zone(3, 55, "d20");
+    for (size_t known = 1; known <= 58; known += 3) {
+        zone.meet(known);
+        EXPECT_EQ(zone.pick(), "") << known;
+        zone.now += 300 * LR_MILLISECOND;
+    }
+    zone.settle();
+    EXPECT_NE(zone.pick(), "");
+}
+
+TEST(Aggregators, OneThatFailedIsPassedOverForAWhile)
+{
+    Zone zone(3, 55, "d20");
+    zone.settle();
+    LrAggregators_Failed(zone.aggregators, LrStr_FromC("10.0.0.0:1"),
+                         zone.now);
+    EXPECT_EQ(zone.picks(500).count("10.0.0.0:1"), 0U);
+    LrAggregators_Failed(zone.aggregators, LrStr_FromC("10.0.0.1:1"),
+                         zone.now);
+    LrAggregators_Failed(zone.aggregators, LrStr_FromC("10.0.0.2:1"),
+                         zone.now);
+    EXPECT_EQ(zone.pick(), "") << "none left: gathers itself";
+    zone.now += 3 * LR_SECOND;
+    EXPECT_EQ(zone.picks(500).size(), 3U);
+}
+
+TEST(Aggregators, OneThatTakesOverLateGetsLess)
+{
+    Zone zone(3, 55, "d20");
+    zone.settle();
+    for (int i = 0; i < 10; i++) {
+        LrAggregators_Acknowledged(zone.aggregators, LrStr_FromC("10.0.0.0:1"),
+                                   25 * LR_MILLISECOND, zone.now);
+    }
+    EXPECT_LE(zone.picks(3000)["10.0.0.0:1"], 500)
+        << "a ninth: it is drawn twice in turn";
+    zone.now += 20 * LR_SECOND;
+    EXPECT_GE(zone.picks(3000)["10.0.0.0:1"], 800) << "forgotten";
+}
+
+// However the daemons divide what is limited over the fleet, all together
+// stay within it.
+TEST(Aggregators, ThePartsOfAllDaemonsStayWithinTheWhole)
+{
+    for (int n_weak : {2, 20, 55, 120}) {
+        double sum = 0;
+        for (int i = 0; i < 3 + n_weak; i++) {
+            Zone zone(3, n_weak, "d" + std::to_string(i));
+            zone.settle();
+            sum += 1 / LrAggregators_Sharers(zone.aggregators);
+        }
+        EXPECT_LE(sum, 1.0 + 1e-9) << n_weak;
+        EXPECT_GE(sum, 0.75) << n_weak;
+    }
+}
+
+namespace {
+
+// First attempts at the slow one of three replicas, of 480 queries that reach
+// a zone of 58 daemons in 20 s. The replica is the preferred one, and eight
+// times slower.
+int
+firsts_at_slow(bool aggregate)
+{
+    constexpr int N_DAEMONS = 58;
+    const std::string slow = "127.0.0.0:1";
+    std::vector<std::unique_ptr<Routed>> worlds;
+    std::vector<std::unique_ptr<Zone>> zones;
+    for (int i = 0; i < N_DAEMONS; i++) {
+        worlds.push_back(std::make_unique<Routed>(1, 3));
+        worlds.back()->warm();
+        zones.push_back(
+            std::make_unique<Zone>(3, N_DAEMONS - 3, "d" + std::to_string(i)));
+        zones.back()->settle();
+    }
+    LrRandom *random = LrRandom_New(11);
+    int n_firsts = 0;
+    for (int n = 0; n < 480; n++) {
+        size_t at = LrRandom_Below(random, N_DAEMONS);
+        std::string address = aggregate ? zones[at]->pick() : "";
+        for (size_t i = 0; i < N_DAEMONS && !address.empty(); i++) {
+            at = zones[0]->addresses[i] == address ? i : at;
+        }
+        Routed &world = *worlds[at];
+        world.submit("ask", false, ("q" + std::to_string(n)).c_str());
+        n_firsts += world.sends.front().address == slow;
+        LrTime done = 0;
+        while (!world.sends.empty()) {
+            Send send = world.take();
+            LrTime work = (send.address == slow ? 80 : 10) * World::kMs;
+            world.advance(work);
+            done += work;
+            world.reply(send, LR_REPLY_OK);
+        }
+        for (auto &other : worlds) {
+            if (other.get() != &world) {
+                other->advance(42 * World::kMs);
+            }
+        }
+        world.advance(42 * World::kMs);
+    }
+    LrRandom_Free(random);
+    return n_firsts;
+}
+
+} // namespace
+
+TEST(Aggregators, ASlowTargetIsFoundOutByFewDaemonsNotByEach)
+{
+    int each = firsts_at_slow(false);
+    int few = firsts_at_slow(true);
+    EXPECT_LE(few, each / 2) << each;
+}
