forward, reach: large zones: offers are begun by order, cut zones told at once

An offer is accepted and then begun by a third message now; an old one has nothing to begin. With that no query is asked for twice, and the repeats that stood in for it are gone. - For a second after each change of the configuration, hosts and their aggregators differed in its version, and weak hosts gathered for themselves without connections: 135 of 135 parts missing. It is enough that both know the route alike, by digest; who is behind asks the other for the changes. - A zone that was cut off never left the rotation: the balancer uses all of its hosts until none is ready, and hosts that hand queries over see no silent targets. Whoever finds out tells its zone at once, and a host believes it while it hears no other zone. - Members became known at 35 a second; probes carry 16 news instead of 6.

ForwardTest.AnAggregatorThatStandsStillIsPassedOver holds the first, Reach.IsolationThatIsToldHolds the third.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -185,6 +185,7 @@
         .isolated =
             LrReach_IsIsolated(LrRouter_Reach(LrEngine_Router(engine))),
     };
+    bool own = standing.isolated;
     if (!standing.isolated &&
         LrReach_IsToldIsolated(LrRouter_Reach(LrEngine_Router(engine)), now)) {
         /* Who says so serves few requests, those of this daemon among them. */
@@ -199,6 +200,12 @@
         return;
     }
     daemon->readiness = next;
+    daemon->isolated = own && next == LR_UNREADY_ISOLATED;
+    if (daemon->isolated) {
+        /* The balancer sends callers to other zones only when no host of
+         * this one is ready. */
+        LrFleet_TellZone(daemon);
+    }
     LR_LOG(daemon->log, LOG_NOTICE, "readiness_changed",
            LrLog_C("readiness", LrReadiness_Names[next]),
            LrLog_Int("unserved_percent", (int64_t)(100 * standing.unserved)));
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -76,6 +76,9 @@
     LrTime stopped_at;
     bool stopping;
     LrReadiness readiness;
+    /* This daemon has found out by itself that its zone is cut off and that it
+     * can serve little. */
+    bool isolated;
     bool finished_waiting;
     bool closing;
 };
@@ -135,6 +138,12 @@
 /* fleet.c */
 bool LrFleet_Start(LrDaemon *daemon, GError **error);
 void LrFleet_Stop(LrDaemon *daemon);
+/* Asks a peer that has a newer catalogue for what changed. */
+void LrFleet_AskIfNewer(LrDaemon *daemon, LrStr address, int64_t revision,
+                        LrTime now);
+/* Probes all daemons of the own zone, so that they hear at once what probes
+ * say. */
+void LrFleet_TellZone(LrDaemon *daemon);
 /* Decides again whether this daemon reads the configuration service. */
 void LrFleet_ChooseReaders(LrDaemon *daemon, LrTime now);
 struct json_t *LrFleet_Dump(const LrDaemon *daemon);
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -44,39 +44,6 @@
     part->tried[part->n_tried++] = target;
 }
 
-bool
-LrDispatch_TakeRepeat(LrEngine *engine, LrPart *part, LrBucket *bucket,
-                      LrTime now)
-{
-    const LrBudgetRule *rule = &engine->config.budget;
-    if (rule->ratio == 0) {
-        return LrBucket_Take(bucket, now);
-    }
-    /* Each daemon has its part of what is allowed beyond the ratio. */
-    LrBudgetRule own = *rule;
-    double sharers =
-        engine->sharers > 0 ? engine->sharers : (double)engine->share.count;
-    own.extra /= MAX(sharers, (double)MAX(1, engine->config.budget_daemons));
-    bool taken = LrBudget_TakeRepeat(&part->group->state->budget, &own, now);
-    LrCounters_Add(engine->config.counters, LR_COUNT_BUDGET_REFUSED, !taken);
-    return taken;
-}
-
-/* Counts the first attempt of a part: as a repeat where another daemon may
- * have made one. False when the budget does not allow that. */
-static bool
-take_first(LrEngine *engine, LrPart *part, LrTime now)
-{
-    if (part->query->repeated) {
-        return LrDispatch_TakeRepeat(engine, part, &engine->retries, now);
-    }
-    LrBucket_Earn(&engine->hedges, engine->config.hedge_share);
-    LrBucket_Earn(&engine->retries, engine->config.retry_share);
-    LrBudget_AddFirst(&part->group->state->budget, &engine->config.budget,
-                      now);
-    return true;
-}
-
 void
 LrDispatch_SendTo(LrEngine *engine, LrPart *part, LrTarget *target, LrTime now)
 {
@@ -85,6 +52,10 @@
         LrAttempt_New(engine, part, target, part->next_kind, now);
     if (part->n_sent == 0) {
         part->first_sent_at = now;
+        LrBucket_Earn(&engine->hedges, engine->config.hedge_share);
+        LrBucket_Earn(&engine->retries, engine->config.retry_share);
+        LrBudget_AddFirst(&part->group->state->budget, &engine->config.budget,
+                          now);
     }
     part->n_sent++;
     part->n_may_run++;
@@ -111,9 +82,25 @@
 LrDispatch_MayRepeat(const LrPart *part)
 {
     int64_t most = part->query->entry->spec->max_attempts;
-    /* An attempt of another daemon counts as well. */
-    unsigned others = part->query->repeated ? 1 : 0;
-    return most == 0 || part->n_may_run + others < most;
+    return most == 0 || part->n_may_run < most;
+}
+
+bool
+LrDispatch_TakeRepeat(LrEngine *engine, LrPart *part, LrBucket *bucket,
+                      LrTime now)
+{
+    const LrBudgetRule *rule = &engine->config.budget;
+    if (rule->ratio == 0) {
+        return LrBucket_Take(bucket, now);
+    }
+    /* Each daemon has its part of what is allowed beyond the ratio. */
+    LrBudgetRule own = *rule;
+    double sharers =
+        engine->sharers > 0 ? engine->sharers : (double)engine->share.count;
+    own.extra /= MAX(sharers, (double)MAX(1, engine->config.budget_daemons));
+    bool taken = LrBudget_TakeRepeat(&part->group->state->budget, &own, now);
+    LrCounters_Add(engine->config.counters, LR_COUNT_BUDGET_REFUSED, !taken);
+    return taken;
 }
 
 static void
@@ -219,11 +206,7 @@
         forget_tried(part);
         target = pick(engine, part, now, &exists);
     }
-    if (target && part->n_sent == 0 && !take_first(engine, part, now)) {
-        part->reason = LR_REASON_OVERLOAD;
-        give_up(part, now);
-    }
-    else if (target) {
+    if (target) {
         LrDispatch_SendTo(engine, part, target, now);
     }
     else if (exists) {
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -33,7 +33,7 @@
     [LR_MSG_LOAN] = &LrLoanMsg_Spec,
     [LR_MSG_FORWARD] = &LrForwardMsg_Spec,
     [LR_MSG_FORWARD_ANSWER] = &LrForwardAnswerMsg_Spec,
-    [LR_MSG_FORWARD_CANCEL] = &LrForwardCancelMsg_Spec,
+    [LR_MSG_FORWARD_ORDER] = &LrForwardOrderMsg_Spec,
 };
 
 typedef struct {
@@ -94,6 +94,7 @@
                       &found);
     LrProbeMsg whole = *message;
     whole.heard_ms = heard_ms(daemon, found.now);
+    whole.isolated = daemon->isolated;
     whole.condemned = found.rows;
     whole.n_condemned = found.n;
     LrLeavingMsg leaving[MAX_LEAVING];
@@ -140,12 +141,12 @@
     return LrKeeper_Revision(daemon->keeper);
 }
 
-/* Asks a peer that has a newer catalogue for what changed. */
-static void
-ask_if_newer(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
+void
+LrFleet_AskIfNewer(LrDaemon *daemon, LrStr address, int64_t revision,
+                   LrTime now)
 {
-    if (message->revision <= own_revision(daemon) ||
-        message->revision == LrKeeper_RefusedRevision(daemon->keeper) ||
+    if (revision <= own_revision(daemon) ||
+        revision == LrKeeper_RefusedRevision(daemon->keeper) ||
         now - daemon->asked_at < ASK_AGAIN) {
         return;
     }
@@ -154,8 +155,7 @@
         .revision = daemon->ask_whole ? 0 : own_revision(daemon),
         .reply_to = daemon->settings.peer_address,
     };
-    LrPeers_Send(daemon->peers, message->news[0].address, &LrAskMsg_Spec,
-                 &ask);
+    LrPeers_Send(daemon->peers, address, &LrAskMsg_Spec, &ask);
 }
 
 /* The first of a probe's news is of its sender. */
@@ -164,7 +164,11 @@
 {
     if (message->n_news > 0) {
         LrReach *reach = LrRouter_Reach(LrEngine_Router(daemon->engine));
-        LrReach_Heard(LrReach_Zone(reach, message->news[0].zone, now), now);
+        LrZone *zone = LrReach_Zone(reach, message->news[0].zone, now);
+        LrReach_Heard(zone, now);
+        if (zone->own && message->isolated) {
+            LrReach_ToldIsolated(reach, now);
+        }
     }
 }
 
@@ -179,7 +183,8 @@
     take_condemned(daemon, message, now);
     take_leaving(daemon, message, now);
     if (message->n_news > 0) {
-        ask_if_newer(daemon, message, now);
+        LrFleet_AskIfNewer(daemon, message->news[0].address, message->revision,
+                           now);
     }
 }
 
@@ -276,7 +281,7 @@
         LrForward_OnAnswer(forward, message);
         break;
     default:
-        LrForward_OnCancel(forward, message);
+        LrForward_OnOrder(forward, message);
         break;
     }
 }
@@ -287,7 +292,7 @@
     switch (tag) {
     case LR_MSG_FORWARD:
     case LR_MSG_FORWARD_ANSWER:
-    case LR_MSG_FORWARD_CANCEL:
+    case LR_MSG_FORWARD_ORDER:
         if (daemon->gateway) {
             dispatch_forward(LrGateway_Forward(daemon->gateway), tag, message);
         }
@@ -470,6 +475,12 @@
     LrDaemon_Settle(daemon);
 }
 
+void
+LrFleet_TellZone(LrDaemon *daemon)
+{
+    LrMembers_ProbeZone(daemon->members);
+}
+
 static LrMembers *
 new_members(LrDaemon *daemon)
 {
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -1,21 +1,26 @@
 /* Queries handed to the aggregators of the zone, and taken over from others.
  *
- * A query that was not taken over in time is gathered here, paid for from the
- * budget where the aggregator may have begun. One that was taken over and lost
- * ends with an answer that promises nothing: how far it got is unknown. */
+ * A query is offered, accepted and begun, in three messages: an aggregator
+ * that stood still and finds an old offer has nothing to begin. So a query
+ * that was not accepted in time goes to another one or is gathered here, and
+ * no shard is asked for it twice. One that was begun and lost ends with an
+ * answer that promises nothing: how far it got is unknown. */
 #include "forward.h"
 
 #include "aggregators.h"
 #include "gateway_private.h"
+#include "keeper.h"
 #include "reach.h"
 
 /* Kept of the time that an answer has, for the way there and back in the zone
  * and the work of both daemons on a message. */
 #define TRANSIT (2 * LR_MILLISECOND)
-/* An aggregator says at once that it has taken a query over, when it has sent
- * the shards of those before: 90 of them take half a core 14 ms. Beyond twice
- * that it is stopped or cut off. */
-#define ACKNOWLEDGE_LIMIT (30 * LR_MILLISECOND)
+/* An aggregator accepts a query when it has sent the shards of those before:
+ * 90 of them take half a core 14 ms. Beyond twice that it is stopped or cut
+ * off. */
+#define ACCEPT_LIMIT (30 * LR_MILLISECOND)
+/* An accepted query is begun at once; after this its daemon is lost. */
+#define START_LIMIT LR_SECOND
 
 /* Aggregators that a query is handed to, one after the other. */
 enum { MAX_HANDED = 2 };
@@ -27,7 +32,8 @@
     LrRouted *routed;
     char *address;
     LrTime sent_at;
-    bool accepted;
+    /* Accepted and begun, as far as this daemon can tell. */
+    bool begun;
     LrTimer timer;
 } Handed;
 
@@ -63,6 +69,21 @@
     return forward;
 }
 
+static void
+drop_all_accepted(LrForward *forward)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, forward->served);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        LrRouted *routed = value;
+        if (routed->timer.slot != 0) {
+            LrLoopTimers_Clear(forward->gateway->timers, &routed->timer);
+            LrRouted_Unref(routed);
+        }
+    }
+}
+
 void
 LrForward_Free(LrForward *forward)
 {
@@ -70,14 +91,20 @@
         return;
     }
     g_hash_table_unref(forward->handed);
+    drop_all_accepted(forward);
     g_hash_table_unref(forward->served);
     g_free(forward);
 }
 
-static int64_t
-config_version(const LrCatalogue *catalogue)
+/* What a catalogue says of a route; empty when it has none of that name. */
+static char *
+digest_text(const LrCatalogue *catalogue, const LrRouteSpec *spec)
 {
-    return LrRoutes_Spec(LrRouting_Routes(catalogue))->version;
+    LrRoutes *routes = LrRouting_Routes(catalogue);
+    LrRoute *route = LrRoutes_Find(routes, spec->name);
+    return route ? g_strdup_printf("%016" G_GINT64_MODIFIER "x",
+                                   LrRoutes_Digest(routes, route))
+                 : g_strdup("");
 }
 
 /* Ends the hand-over and leaves the request to the caller of this. */
@@ -99,40 +126,56 @@
     LR_LOG(daemon->log, LOG_WARNING, "forward_lost",
            LrLog_C("id", handed->routed->id),
            LrLog_C("aggregator", handed->address), LrLog_C("why", why),
-           LrLog_Int("accepted", handed->accepted),
+           LrLog_Int("begun", handed->begun),
            LrLog_Int("ms", (LrLoop_Now() - handed->sent_at) / LR_MILLISECOND));
 }
 
 static void
-send_cancel(const Handed *handed)
+send_order(const Handed *handed, LrForwardOrder order)
 {
     LrDaemon *daemon = handed->forward->daemon;
-    LrForwardCancelMsg message = {
+    LrForwardOrderMsg message = {
         .id = handed->id,
         .reply_to = daemon->settings.peer_address,
+        .order = order,
     };
     LrPeers_Send(daemon->peers, LrStr_FromC(handed->address),
-                 &LrForwardCancelMsg_Spec, &message);
+                 &LrForwardOrderMsg_Spec, &message);
+}
+
+/* Another aggregator takes it, or this daemon. */
+static void
+hand_on(LrForward *forward, Handed *handed)
+{
+    LrRouted *routed = take_back(handed);
+    if (!LrForward_Send(forward, routed)) {
+        LrGateway_Gather(forward->gateway, routed);
+    }
+    LrRouted_Unref(routed);
+}
+
+static void
+give_up(LrForward *forward, Handed *handed, unsigned status)
+{
+    LrRouted *routed = take_back(handed);
+    LrGateway_GiveUp(forward->gateway, routed, status);
+    LrRouted_Unref(routed);
 }
 
-/* The aggregator cannot be reckoned with. What it has not taken over goes to
- * another one or is gathered here; what it has is given up. */
+/* The aggregator cannot be reckoned with. */
 static void
 on_lost(Handed *handed, const char *why)
 {
-    LrGateway *gateway = handed->forward->gateway;
-    bool accepted = handed->accepted;
+    LrForward *forward = handed->forward;
     log_lost(handed, why);
-    LrAggregators_Failed(gateway->daemon->aggregators,
+    LrAggregators_Failed(forward->daemon->aggregators,
                          LrStr_FromC(handed->address), LrLoop_Now());
-    LrRouted *routed = take_back(handed);
-    if (accepted) {
-        LrGateway_GiveUp(gateway, routed, LR_STATUS_BAD_GATEWAY);
+    if (handed->begun) {
+        give_up(forward, handed, LR_STATUS_BAD_GATEWAY);
     }
-    else if (!LrForward_Send(gateway->forward, routed, true)) {
-        LrGateway_Gather(gateway, routed, true);
+    else {
+        hand_on(forward, handed);
     }
-    LrRouted_Unref(routed);
 }
 
 static void
@@ -142,15 +185,13 @@
     LrForward *forward = handed->forward;
     (void)now;
     LrEngine_Advance(forward->daemon->engine, LrLoop_Now());
-    send_cancel(handed);
-    if (handed->accepted) {
+    send_order(handed, LR_ORDER_CANCEL);
+    if (handed->begun) {
         log_lost(handed, "no answer in time");
-        LrRouted *routed = take_back(handed);
-        LrGateway_GiveUp(forward->gateway, routed, LR_STATUS_TIMEOUT);
-        LrRouted_Unref(routed);
+        give_up(forward, handed, LR_STATUS_TIMEOUT);
     }
     else {
-        on_lost(handed, "not taken over in time");
+        on_lost(handed, "not accepted in time");
     }
     LrDaemon_Settle(forward->daemon);
 }
@@ -163,33 +204,35 @@
 }
 
 static bool
-send_request(const LrForward *forward, const Handed *handed, bool repeated)
+send_offer(const LrForward *forward, const Handed *handed)
 {
     const LrRouted *routed = handed->routed;
+    LrDaemon *daemon = forward->daemon;
     LrTime now = LrLoop_Now();
+    g_autofree char *digest = digest_text(routed->catalogue, routed->route);
     LrTime spent = now - routed->arrived_at + TRANSIT;
     LrTime left = time_left(routed, now);
     LrForwardMsg message = {
         .id = handed->id,
-        .reply_to = forward->daemon->settings.peer_address,
-        .config = config_version(routed->catalogue),
+        .reply_to = daemon->settings.peer_address,
+        .revision = LrKeeper_Revision(daemon->keeper),
         .route = routed->route->name,
+        .route_digest = LrStr_FromC(digest),
         .entry = routed->entry,
         .request_id = LrStr_FromC(routed->id),
         .target = LrStr_FromC(routed->target),
         .head = {.ptr = routed->head->str, .len = routed->head->len},
         .body = LrStr_FromBytes(routed->body),
         .bodyless = routed->bodyless,
-        .repeated = repeated,
         .spent_us = spent / LR_MICROSECOND,
         .timeout_us = left > 0 ? MAX(1, (left - TRANSIT) / LR_MICROSECOND) : 0,
     };
-    return LrPeers_Send(forward->daemon->peers, LrStr_FromC(handed->address),
+    return LrPeers_Send(daemon->peers, LrStr_FromC(handed->address),
                         &LrForwardMsg_Spec, &message);
 }
 
 bool
-LrForward_Send(LrForward *forward, LrRouted *routed, bool repeated)
+LrForward_Send(LrForward *forward, LrRouted *routed)
 {
     LrTime now = LrLoop_Now();
     if (!routed->route->scatter || !routed->route->idempotent ||
@@ -211,7 +254,7 @@
     routed->handed = handed->id;
     routed->n_handed++;
     g_hash_table_insert(forward->handed, &handed->id, handed);
-    if (!send_request(forward, handed, repeated)) {
+    if (!send_offer(forward, handed)) {
         LrAggregators_Failed(forward->daemon->aggregators, address, now);
         LrRouted_Unref(take_back(handed));
         return false;
@@ -220,7 +263,7 @@
     LR_LOG(forward->daemon->log, LOG_INFO, "request_forwarded",
            LrLog_C("id", routed->id), LrLog_C("aggregator", handed->address));
     LrLoopTimers_Set(forward->gateway->timers, &handed->timer,
-                     now + ACKNOWLEDGE_LIMIT);
+                     now + ACCEPT_LIMIT);
     return true;
 }
 
@@ -231,7 +274,7 @@
     if (!handed) {
         return false;
     }
-    send_cancel(handed);
+    send_order(handed, LR_ORDER_CANCEL);
     LrRouted_Unref(take_back(handed));
     return true;
 }
@@ -243,7 +286,8 @@
     LrAggregators_Acknowledged(forward->daemon->aggregators,
                                LrStr_FromC(handed->address),
                                now - handed->sent_at, now);
-    handed->accepted = true;
+    handed->begun = true;
+    send_order(handed, LR_ORDER_START);
     const LrRouted *routed = handed->routed;
     LrTime limit = routed->route->timeout_ms * LR_MILLISECOND;
     LrTime due = routed->arrived_at + limit;
@@ -254,15 +298,22 @@
 }
 
 static void
-on_declined(LrForward *forward, Handed *handed)
+on_declined(LrForward *forward, Handed *handed, int64_t revision)
 {
+    LrStr address = LrStr_FromC(handed->address);
     LrCounters_Add(forward->daemon->counters, LR_COUNT_FORWARD_DECLINED, 1);
     LR_LOG(forward->daemon->log, LOG_INFO, "forward_declined",
            LrLog_C("id", handed->routed->id),
-           LrLog_C("aggregator", handed->address));
+           LrLog_Str("aggregator", address));
+    LrFleet_AskIfNewer(forward->daemon, address, revision, LrLoop_Now());
+    hand_on(forward, handed);
+}
+
+static void
+pass_on(Handed *handed, const LrForwardAnswerMsg *message)
+{
     LrRouted *routed = take_back(handed);
-    /* An earlier one may have begun. */
-    LrGateway_Gather(forward->gateway, routed, routed->n_handed > 1);
+    LrGateway_PassOn(routed, message->head, message->body);
     LrRouted_Unref(routed);
 }
 
@@ -283,14 +334,11 @@
     case LR_FORWARD_ACCEPTED:
         on_accepted(forward, handed);
         break;
-    case LR_FORWARD_ANSWERED: {
-        LrRouted *routed = take_back(handed);
-        LrGateway_PassOn(routed, message->head, message->body);
-        LrRouted_Unref(routed);
+    case LR_FORWARD_ANSWERED:
+        pass_on(handed, message);
         break;
-    }
     default:
-        on_declined(forward, handed);
+        on_declined(forward, handed, message->revision);
         break;
     }
 }
@@ -323,65 +371,125 @@
                            reply_to.ptr, id);
 }
 
-/* Why a query is not taken over; NULL when it is. */
-static const char *
-refusal(const LrForward *forward, const LrForwardMsg *message)
+/* The route of an offer; NULL with the reason when it is declined. */
+static LrRoute *
+find_route(const LrForward *forward, const LrForwardMsg *message,
+           const char **why)
 {
-    const LrDaemon *daemon = forward->daemon;
-    LrView *view = LrEngine_View(daemon->engine);
-    if (daemon->stopping) {
-        return "stopping";
+    LrView *view = LrEngine_View(forward->daemon->engine);
+    LrRoutes *routes = view ? LrRouting_Routes(view->catalogue) : NULL;
+    LrRoute *route = routes ? LrRoutes_Find(routes, message->route) : NULL;
+    if (forward->daemon->stopping) {
+        *why = "stopping";
+        return NULL;
     }
-    /* Shards and routes of two configurations never mix, and no host may
-     * seem to go back to an older one. */
-    if (!view || config_version(view->catalogue) != message->config) {
-        return "another configuration";
+    if (!route) {
+        *why = "no such route";
+        return NULL;
     }
-    return NULL;
+    /* Routes of two configurations never mix, and no host may seem to go back
+     * to an older one. */
+    g_autofree char *digest = digest_text(view->catalogue, route->spec);
+    *why =
+        LrStr_EqualC(message->route_digest, digest) ? NULL : "another route";
+    return *why ? NULL : route;
 }
 
-void
-LrForward_OnRequest(LrForward *forward, const LrForwardMsg *message)
+static void
+decline(LrForward *forward, const LrForwardMsg *message, const char *why)
 {
     LrDaemon *daemon = forward->daemon;
-    const char *why = refusal(forward, message);
-    const LrRoute *route =
-        why ? NULL
-            : LrRoutes_Find(
-                  LrRouting_Routes(LrEngine_View(daemon->engine)->catalogue),
-                  message->route);
     LrForwardAnswerMsg answer = {
         .id = message->id,
         .request_id = message->request_id,
+        .step = LR_FORWARD_DECLINED,
+        .revision = LrKeeper_Revision(daemon->keeper),
     };
-    answer.step = route ? LR_FORWARD_ACCEPTED : LR_FORWARD_DECLINED;
+    LR_LOG(daemon->log, LOG_INFO, "forward_refused",
+           LrLog_Str("id", message->request_id), LrLog_C("why", why));
+    reply(forward, message->reply_to, &answer);
+    LrFleet_AskIfNewer(daemon, message->reply_to, message->revision,
+                       LrLoop_Now());
+}
+
+/* Forgets a request of another daemon that was not begun. */
+static void
+drop_accepted(LrForward *forward, LrRouted *routed)
+{
+    g_autofree char *name =
+        served_name(LrStr_FromC(routed->reply_to), routed->remote_id);
+    LrLoopTimers_Clear(forward->gateway->timers, &routed->timer);
+    g_hash_table_remove(forward->served, name);
+    LrRouted_Unref(routed);
+}
+
+static void
+on_not_begun(void *data, LrTime now)
+{
+    LrRouted *routed = data;
+    LrForward *forward = routed->gateway->forward;
+    (void)now;
+    LR_LOG(forward->daemon->log, LOG_INFO, "forward_not_begun",
+           LrLog_C("id", routed->id));
+    drop_accepted(forward, routed);
+}
+
+void
+LrForward_OnRequest(LrForward *forward, const LrForwardMsg *message)
+{
+    const char *why = NULL;
+    const LrRoute *route = find_route(forward, message, &why);
     if (!route) {
-        LR_LOG(daemon->log, LOG_INFO, "forward_refused",
-               LrLog_Str("id", message->request_id),
-               LrLog_C("why", why ? why : "no such route"));
-        reply(forward, message->reply_to, &answer);
+        decline(forward, message, why);
         return;
     }
-    reply(forward, message->reply_to, &answer);
-    LrCounters_Add(daemon->counters, LR_COUNT_FORWARD_SERVED, 1);
-    LrRouted *routed = LrGateway_TakeOver(forward->gateway, route, message);
     char *name = served_name(message->reply_to, message->id);
+    LrRouted *former = g_hash_table_lookup(forward->served, name);
+    if (former && former->timer.slot != 0) {
+        drop_accepted(forward, former);
+    }
+    LrRouted *routed = LrGateway_TakeOver(forward->gateway, route, message);
+    routed->timer = (LrTimer){.func = on_not_begun, .data = routed};
+    LrLoopTimers_Set(forward->gateway->timers, &routed->timer,
+                     LrLoop_Now() + START_LIMIT);
     g_hash_table_replace(forward->served, name, routed);
-    LrGateway_Gather(forward->gateway, routed, message->repeated);
+    LrForwardAnswerMsg answer = {
+        .id = message->id,
+        .request_id = message->request_id,
+        .step = LR_FORWARD_ACCEPTED,
+    };
+    reply(forward, message->reply_to, &answer);
+}
+
+static void
+cancel_begun(LrForward *forward, LrRouted *routed, const char *name)
+{
+    g_hash_table_remove(forward->served, name);
+    if (LrEngine_Cancel(forward->daemon->engine, LrLoop_Now(),
+                        routed->pending.query)) {
+        LrRouted_Unref(routed);
+    }
 }
 
 void
-LrForward_OnCancel(LrForward *forward, const LrForwardCancelMsg *message)
+LrForward_OnOrder(LrForward *forward, const LrForwardOrderMsg *message)
 {
     g_autofree char *name = served_name(message->reply_to, message->id);
     LrRouted *routed = g_hash_table_lookup(forward->served, name);
     if (!routed) {
         return;
     }
-    g_hash_table_remove(forward->served, name);
-    if (LrEngine_Cancel(forward->daemon->engine, LrLoop_Now(),
-                        routed->pending.query)) {
-        LrRouted_Unref(routed);
+    bool begun = routed->timer.slot == 0;
+    if (message->order == LR_ORDER_START && !begun) {
+        LrLoopTimers_Clear(forward->gateway->timers, &routed->timer);
+        LrCounters_Add(forward->daemon->counters, LR_COUNT_FORWARD_SERVED, 1);
+        LrGateway_Gather(forward->gateway, routed);
+    }
+    else if (message->order == LR_ORDER_CANCEL && begun) {
+        cancel_begun(forward, routed, name);
+    }
+    else if (message->order == LR_ORDER_CANCEL) {
+        drop_accepted(forward, routed);
     }
 }
 
--- a/liblavenderrail/forward.h
+++ b/liblavenderrail/forward.h
@@ -11,8 +11,8 @@
 LrForward *LrForward_New(LrGateway *gateway);
 void LrForward_Free(LrForward *forward);
 /* Hands a caller's request to an aggregator; false when this daemon is to
- * gather it. repeated: another one may have begun it. */
-bool LrForward_Send(LrForward *forward, LrRouted *routed, bool repeated);
+ * gather it. */
+bool LrForward_Send(LrForward *forward, LrRouted *routed);
 /* The caller went away; false when the request was not handed over. */
 bool LrForward_Cancel(LrForward *forward, LrRouted *routed);
 /* Sends the answer of a request that came from another daemon. */
@@ -20,7 +20,7 @@
                       const GString *head, GBytes *body);
 void LrForward_OnRequest(LrForward *forward, const LrForwardMsg *message);
 void LrForward_OnAnswer(LrForward *forward, const LrForwardAnswerMsg *message);
-void LrForward_OnCancel(LrForward *forward, const LrForwardCancelMsg *message);
+void LrForward_OnOrder(LrForward *forward, const LrForwardOrderMsg *message);
 void LrForward_LinkLost(LrForward *forward, LrStr address);
 
 #endif
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -128,7 +128,7 @@
 }
 
 void
-LrGateway_Gather(LrGateway *gateway, LrRouted *routed, bool repeated)
+LrGateway_Gather(LrGateway *gateway, LrRouted *routed)
 {
     LrDaemon *daemon = gateway->daemon;
     LrTime now = LrLoop_Now();
@@ -137,7 +137,6 @@
         .body = routed->body,
         .identity = LrStr_FromC(routed->target),
         .spent = now - routed->arrived_at,
-        .repeated = repeated,
         .timeout = routed->deadline > 0 ? MAX(1, routed->deadline - now) : 0,
         .data = &routed->pending,
     };
@@ -152,8 +151,8 @@
     LrRouted *routed = take_call(gateway, call, route, terms);
     routed->refs++;
     LrCounters_Add(daemon->counters, LR_COUNT_ROUTED_REQUESTS, 1);
-    if (!LrForward_Send(gateway->forward, routed, false)) {
-        LrGateway_Gather(gateway, routed, false);
+    if (!LrForward_Send(gateway->forward, routed)) {
+        LrGateway_Gather(gateway, routed);
     }
     LrRouted_Unref(routed);
     LrDaemon_Settle(daemon);
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -52,6 +52,8 @@
     /* The daemon that handed it over, and its number there; NULL for none. */
     char *reply_to;
     int64_t remote_id;
+    /* Ends one that was taken over and is not begun. */
+    LrTimer timer;
     GString *head;
     GBytes *body;
     bool bodyless;
@@ -62,9 +64,8 @@
 
 /* gateway.c */
 void LrRouted_Unref(LrRouted *routed);
-/* Gives a request to the engine. repeated: another daemon may have begun it,
- * so that its attempts are repeats. */
-void LrGateway_Gather(LrGateway *gateway, LrRouted *routed, bool repeated);
+/* Gives a request to the engine. */
+void LrGateway_Gather(LrGateway *gateway, LrRouted *routed);
 /* A request that another daemon handed over; it holds itself until it is
  * answered or cancelled. */
 LrRouted *LrGateway_TakeOver(LrGateway *gateway, const LrRoute *route,
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -84,6 +84,12 @@
     NULL,
 };
 
+const char *const LrForwardOrder_Names[] = {
+    "start",
+    "cancel",
+    NULL,
+};
+
 static const LrFieldSpec LrTargetSpec_Fields[] = {
     {.name = "name",
      .kind = LR_FIELD_STR,
@@ -1099,6 +1105,11 @@
      .min = -1,
      .max = 9007199254740991,
      .fallback = -1},
+    {.name = "isolated",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrProbeMsg, isolated),
+     .hint = "whether the sender has found its zone to be cut off, and can serve little",
+     .fallback = 0},
 };
 
 const LrObjectSpec LrProbeMsg_Spec = {
@@ -1666,10 +1677,10 @@
      .offset = offsetof(LrForwardMsg, reply_to),
      .hint = "peer IP:port of the sender",
      .required = true},
-    {.name = "config",
+    {.name = "revision",
      .kind = LR_FIELD_INT,
-     .offset = offsetof(LrForwardMsg, config),
-     .hint = "version of the configuration that the sender has in force",
+     .offset = offsetof(LrForwardMsg, revision),
+     .hint = "revision of the sender's catalogue",
      .required = true,
      .min = 0,
      .max = 9007199254740991},
@@ -1678,6 +1689,11 @@
      .offset = offsetof(LrForwardMsg, route),
      .hint = "name of the route",
      .required = true},
+    {.name = "route_digest",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrForwardMsg, route_digest),
+     .hint = "16 hexadecimal digits; what the sender takes the route to be",
+     .required = true},
     {.name = "entry",
      .kind = LR_FIELD_STR,
      .offset = offsetof(LrForwardMsg, entry),
@@ -1722,11 +1738,6 @@
      .required = true,
      .min = 0,
      .max = 2147483647000},
-    {.name = "repeated",
-     .kind = LR_FIELD_BOOL,
-     .offset = offsetof(LrForwardMsg, repeated),
-     .hint = "whether another daemon may have begun the query",
-     .fallback = 0},
 };
 
 const LrObjectSpec LrForwardMsg_Spec = {
@@ -1778,6 +1789,13 @@
      .offset = offsetof(LrForwardAnswerMsg, isolated),
      .hint = "whether the daemon is cut off and can serve little",
      .fallback = 0},
+    {.name = "revision",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardAnswerMsg, revision),
+     .hint = "revision of the catalogue of the daemon that declines",
+     .min = 0,
+     .max = 9007199254740991,
+     .fallback = 0},
 };
 
 const LrObjectSpec LrForwardAnswerMsg_Spec = {
@@ -1788,27 +1806,33 @@
     .n_fields = G_N_ELEMENTS(LrForwardAnswerMsg_Fields),
 };
 
-static const LrFieldSpec LrForwardCancelMsg_Fields[] = {
+static const LrFieldSpec LrForwardOrderMsg_Fields[] = {
     {.name = "id",
      .kind = LR_FIELD_INT,
-     .offset = offsetof(LrForwardCancelMsg, id),
+     .offset = offsetof(LrForwardOrderMsg, id),
      .hint = "number of the query at its sender",
      .required = true,
      .min = 0,
      .max = 9007199254740991},
     {.name = "reply_to",
      .kind = LR_FIELD_STR,
-     .offset = offsetof(LrForwardCancelMsg, reply_to),
+     .offset = offsetof(LrForwardOrderMsg, reply_to),
      .hint = "peer IP:port of the sender",
      .required = true},
+    {.name = "order",
+     .kind = LR_FIELD_ENUM,
+     .offset = offsetof(LrForwardOrderMsg, order),
+     .hint = "what to do",
+     .choices = LrForwardOrder_Names,
+     .fallback = 1},
 };
 
-const LrObjectSpec LrForwardCancelMsg_Spec = {
-    .name = "LrForwardCancelMsg",
-    .size = sizeof(LrForwardCancelMsg),
+const LrObjectSpec LrForwardOrderMsg_Spec = {
+    .name = "LrForwardOrderMsg",
+    .size = sizeof(LrForwardOrderMsg),
     .tag = 17,
-    .fields = LrForwardCancelMsg_Fields,
-    .n_fields = G_N_ELEMENTS(LrForwardCancelMsg_Fields),
+    .fields = LrForwardOrderMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrForwardOrderMsg_Fields),
 };
 
 const char *const LrCounterId_Names[] = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -101,6 +101,14 @@
 } LrForwardStep;
 extern const char *const LrForwardStep_Names[];
 
+/* What a daemon wants of a query that it handed over. */
+typedef enum {
+    LR_ORDER_START,
+    LR_ORDER_CANCEL,
+    LR_ORDER_COUNT
+} LrForwardOrder;
+extern const char *const LrForwardOrder_Names[];
+
 /* One searcher as the catalogue names it. */
 typedef struct {
     /* a unique name, such as archive-0-a */
@@ -472,6 +480,8 @@
     size_t n_leaving;
     /* time since the sender, or one it has heard of, read the configuration service; -1 while none has */
     int64_t heard_ms;
+    /* whether the sender has found its zone to be cut off, and can serve little */
+    bool isolated;
 } LrProbeMsg;
 extern const LrObjectSpec LrProbeMsg_Spec;
 #define LR_MSG_PROBE 2
@@ -705,10 +715,12 @@
     int64_t id;
     /* peer IP:port of the sender */
     LrStr reply_to;
-    /* version of the configuration that the sender has in force */
-    int64_t config;
+    /* revision of the sender's catalogue */
+    int64_t revision;
     /* name of the route */
     LrStr route;
+    /* 16 hexadecimal digits; what the sender takes the route to be */
+    LrStr route_digest;
     /* catalogue entry that was chosen */
     LrStr entry;
     /* the caller's id of the request */
@@ -725,8 +737,6 @@
     int64_t spent_us;
     /* time that the answer has, microseconds; 0 when the caller gave none */
     int64_t timeout_us;
-    /* whether another daemon may have begun the query */
-    bool repeated;
 } LrForwardMsg;
 extern const LrObjectSpec LrForwardMsg_Spec;
 #define LR_MSG_FORWARD 15
@@ -747,19 +757,23 @@
     LrStr body;
     /* whether the daemon is cut off and can serve little */
     bool isolated;
+    /* revision of the catalogue of the daemon that declines */
+    int64_t revision;
 } LrForwardAnswerMsg;
 extern const LrObjectSpec LrForwardAnswerMsg_Spec;
 #define LR_MSG_FORWARD_ANSWER 16
 
-/* A query that was handed over and is not wanted any more. */
+/* To a daemon that took a query over: begins it or ends it. */
 typedef struct {
     /* number of the query at its sender */
     int64_t id;
     /* peer IP:port of the sender */
     LrStr reply_to;
-} LrForwardCancelMsg;
-extern const LrObjectSpec LrForwardCancelMsg_Spec;
-#define LR_MSG_FORWARD_CANCEL 17
+    /* what to do */
+    LrForwardOrder order;
+} LrForwardOrderMsg;
+extern const LrObjectSpec LrForwardOrderMsg_Spec;
+#define LR_MSG_FORWARD_ORDER 17
 
 /* Counters of a daemon. */
 typedef enum {
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -916,6 +916,8 @@
 /* What probes say of the catalogue in force here. */
 void LrMembers_SetCatalogue(LrMembers *members, int64_t revision,
                             uint64_t digest);
+/* Probes every member of the own zone, beside the probe of the interval. */
+void LrMembers_ProbeZone(LrMembers *members);
 LrMember *LrMembers_Lookup(LrMembers *members, LrStr name);
 size_t LrMembers_Count(const LrMembers *members);
 LrMember *LrMembers_Get(const LrMembers *members, size_t index);
@@ -985,9 +987,6 @@
     int64_t version;
     /* Time that passed before, of what the entry's deadlines allow. */
     LrTime spent;
-    /* Another daemon may have begun the request: its first attempts are
-     * repeats to the targets, and paid for as such. */
-    bool repeated;
     void *data;
 } LrRequest;
 
--- a/liblavenderrail/member.c
+++ b/liblavenderrail/member.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 enum {
-    MAX_NEWS = 6,
+    MAX_NEWS = 16,
     HELPERS = 3,
     MAX_RELAYS = 64,
     SPREAD_FACTOR = 3,
@@ -596,6 +596,19 @@
                LrStr_FromC(""));
 }
 
+void
+LrMembers_ProbeZone(LrMembers *members)
+{
+    for (guint i = 0; i < members->rows->len; i++) {
+        const LrMember *member = members->rows->pdata[i];
+        if (is_reachable(members, member) &&
+            LrStr_Equal(member->zone, members->self->zone)) {
+            send_probe(members, member->address, ++members->sequence, false,
+                       LrStr_FromC(""));
+        }
+    }
+}
+
 void
 LrMembers_Leave(LrMembers *members, LrTime now)
 {
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -67,8 +67,6 @@
     LrClass klass;
     bool call;
     bool single_run;
-    /* Another daemon may have begun it. */
-    bool repeated;
     uint64_t route_hash;
     LrStr key;
     GBytes *body;
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -174,9 +174,6 @@
     query->body = request->body ? g_bytes_ref(request->body) : NULL;
     query->key =
         (LrStr){.ptr = LrStr_Dup(request->key), .len = request->key.len};
-    query->repeated = request->repeated;
-    /* What another daemon began is never proven not to have run. */
-    query->n_unproven = request->repeated;
     query->klass = LR_CLASS_ROUTINE;
     query->started_at = now;
     query->hedge_at = LR_NEVER;
--- a/liblavenderrail/reach.c
+++ b/liblavenderrail/reach.c
@@ -189,12 +189,17 @@
 bool
 LrReach_IsToldIsolated(const LrReach *reach, LrTime now)
 {
+    unsigned n_others = 0;
     for (guint i = 0; i < reach->zones->len; i++) {
         const LrZone *zone = reach->zones->pdata[i];
-        if (!zone->own && (zone->heard_at >= reach->told_at ||
-                           now - zone->heard_at < SILENCE)) {
+        if (zone->own) {
+            continue;
+        }
+        if (zone->heard_at >= reach->told_at ||
+            now - zone->heard_at < SILENCE) {
             return false;
         }
+        n_others++;
     }
-    return reach->told_at > 0;
+    return n_others > 0;
 }
--- a/liblavenderrail/routing.c
+++ b/liblavenderrail/routing.c
@@ -2,6 +2,7 @@
  * registered themselves. */
 #include "routing.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -461,6 +462,19 @@
     return NULL;
 }
 
+uint64_t
+LrRoutes_Digest(const LrRoutes *routes, LrRoute *route)
+{
+    if (route->digest == 0) {
+        json_t *list = json_object_get(routes->json, "routes");
+        json_t *json = json_array_get(list, (size_t)(route - routes->items));
+        char *text = json_dumps(json, JSON_SORT_KEYS | JSON_COMPACT);
+        route->digest = MAX(1, LrStr_Hash(LrStr_FromC(text), 0));
+        free(text);
+    }
+    return route->digest;
+}
+
 LrStr
 LrRoute_OwnEntry(const LrRoute *route, LrStr entry)
 {
--- a/liblavenderrail/routing.h
+++ b/liblavenderrail/routing.h
@@ -27,6 +27,8 @@
     const LrRouteSpec *spec;
     LrRouteBackend *backends;
     size_t n_backends;
+    /* Of all that the configuration says of the route; 0 until asked for. */
+    uint64_t digest;
 } LrRoute;
 
 /* Builds the catalogue of a routed store: an entry for each backend of each
@@ -42,6 +44,8 @@
 LrRoute *LrRoutes_Lookup(const LrRoutes *routes, LrStr host, LrStr path);
 /* The route of that name; NULL when there is none. */
 LrRoute *LrRoutes_Find(const LrRoutes *routes, LrStr name);
+/* Tells whether two configurations say the same of a route. */
+uint64_t LrRoutes_Digest(const LrRoutes *routes, LrRoute *route);
 /* The route's own copy of the name of one of its entries; empty when it is
  * not among them. */
 LrStr LrRoute_OwnEntry(const LrRoute *route, LrStr entry);
--- a/tests/test_forward.cc
+++ b/tests/test_forward.cc
@@ -76,7 +76,7 @@
 }
 
 // Two of three aggregators stand still: nothing is lost, and no shard is
-// asked of more targets than the route allows.
+// asked twice when they go on.
 TEST_F(ForwardTest, AnAggregatorThatStandsStillIsPassedOver)
 {
     fleet->daemons[1]->signal(SIGSTOP);
@@ -85,10 +85,14 @@
         std::string id = "still" + std::to_string(n);
         RoutedAnswer answer = fleet->ask(4 + n % 5, "/w/x", id);
         EXPECT_EQ(answer.status, 200) << n;
-        EXPECT_LE(fleet->runs(id).size(), 4U);
     }
     fleet->daemons[1]->signal(SIGCONT);
     fleet->daemons[2]->signal(SIGCONT);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    for (int n = 0; n < 6; n++) {
+        EXPECT_EQ(fleet->runs("still" + std::to_string(n)).size(), 2U)
+            << "offers that are found late are not begun";
+    }
     EXPECT_EQ(fleet->ask(N_DAEMONS, "/w/x", "awake").status, 200);
 }
 
--- a/tests/test_member.cc
+++ b/tests/test_member.cc
@@ -282,3 +282,48 @@
     LrHostList_Free(empty);
     LrFaults_Free(faults);
 }
+
+// What a daemon finds out about its zone reaches every daemon of it at once.
+TEST(Member, TheWholeZoneIsProbedAndNobodyElse)
+{
+    std::vector<std::string> probed;
+    LrRandom *random = LrRandom_New(1);
+    LrMembersConfig config = {};
+    config.name = LrStr_FromC("a0");
+    config.zone = LrStr_FromC("za");
+    config.address = LrStr_FromC("10.0.0.0:1");
+    config.interval = 300 * LR_MILLISECOND;
+    config.random = random;
+    config.send = [](void *data, LrStr address, const LrProbeMsg *) {
+        static_cast<std::vector<std::string> *>(data)->emplace_back(
+            address.ptr, address.len);
+    };
+    config.data = &probed;
+    LrMembers *members = LrMembers_New(&config, 0);
+    LrMemberMsg news[] = {
+        {.name = LrStr_FromC("a1"),
+         .zone = LrStr_FromC("za"),
+         .address = LrStr_FromC("10.0.0.1:1")},
+        {.name = LrStr_FromC("a2"),
+         .zone = LrStr_FromC("za"),
+         .address = LrStr_FromC("10.0.0.2:1")},
+        {.name = LrStr_FromC("b1"),
+         .zone = LrStr_FromC("zb"),
+         .address = LrStr_FromC("10.0.1.1:1")},
+        {.name = LrStr_FromC("a3"),
+         .zone = LrStr_FromC("za"),
+         .address = LrStr_FromC("10.0.0.3:1"),
+         .state = LR_MEMBER_LEAVING},
+    };
+    LrProbeMsg probe = {};
+    probe.ack = true;
+    probe.news = news;
+    probe.n_news = std::size(news);
+    LrMembers_OnProbe(members, &probe, 0);
+    probed.clear();
+    LrMembers_ProbeZone(members);
+    EXPECT_EQ(probed, (std::vector<std::string>{"10.0.0.1:1", "10.0.0.2:1",
+                                                "10.0.0.3:1"}));
+    LrMembers_Free(members);
+    LrRandom_Free(random);
+}
--- a/tests/test_reach.cc
+++ b/tests/test_reach.cc
@@ -173,3 +173,21 @@
     EXPECT_FALSE(LrReach_IsIsolated(alone));
     LrReach_Free(alone);
 }
+
+// A daemon that asks few targets learns of a cut from one that asks many, as
+// long as it hears nothing that speaks against it.
+TEST_F(Reach, IsolationThatIsToldHoldsWhileNoOtherZoneIsHeard)
+{
+    EXPECT_FALSE(LrReach_IsToldIsolated(reach, now)) << "nobody said so";
+    now += 200 * LR_MILLISECOND;
+    LrReach_ToldIsolated(reach, now);
+    EXPECT_FALSE(LrReach_IsToldIsolated(reach, now)) << "heard just before";
+    now += 600 * LR_MILLISECOND;
+    EXPECT_TRUE(LrReach_IsToldIsolated(reach, now));
+    LrReach_Heard(own, now);
+    EXPECT_TRUE(LrReach_IsToldIsolated(reach, now));
+    LrReach_Heard(one, now);
+    EXPECT_FALSE(LrReach_IsToldIsolated(reach, now)) << "a sign of life";
+    now += 2 * LR_SECOND;
+    EXPECT_FALSE(LrReach_IsToldIsolated(reach, now)) << "not told again";
+}
