--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -5,7 +5,9 @@
  *   POST /control/config           the body becomes the configuration
  *   POST /control/server?id&service&address&zone[&state][&cold]
  *                                  starts a searcher and registers it
- *   POST /control/entry?id&state   rewrites a searcher's entry; without state
+ *   POST /control/entry?id&state[&address]
+ *                                  rewrites a searcher's entry, as of a new
+ *                                  start with an address; without state
  *                                  removes it
  *   POST /control/fault?id&name&value
  *   POST /control/store?name&value down, compact or lose
@@ -416,6 +418,7 @@
 {
     g_autofree char *id = text_argument(exchange, "id");
     g_autofree char *state = text_argument(exchange, "state");
+    g_autofree char *address = text_argument(exchange, "address");
     g_autofree char *key = g_strconcat("servers/", id, NULL);
     const Item *item = g_hash_table_lookup(standin->items, key);
     if (state[0] == '\0') {
@@ -424,6 +427,12 @@
     else if (item) {
         json_t *entry = json_loads(item->value, 0, NULL);
         json_object_set_new(entry, "state", json_string(state));
+        if (address[0] != '\0') {
+            json_int_t born =
+                json_integer_value(json_object_get(entry, "born"));
+            json_object_set_new(entry, "born", json_integer(born + 1));
+            json_object_set_new(entry, "address", json_string(address));
+        }
         char *text = json_dumps(entry, JSON_COMPACT);
         put(standin, key, text);
         free(text);
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -6,7 +6,12 @@
 enum {
     /* Descriptors kept for files, the platform and peers. */
     RESERVED_FILES = 400,
-    MAX_RESPONSE = 8 << 20,
+    /* A response's head holds a seal, a load report and a few headers. */
+    MAX_RESPONSE_HEAD = 64 << 10,
+    MAX_RESPONSE_BODY = 8 << 20,
+    /* A tenth of the memory of the smallest host, 160 MB; buffers that grow
+     * take twice that. */
+    MAX_UNFINISHED = 16 << 20,
 };
 
 /* Callers' limits until a configuration names them. */
@@ -292,7 +297,9 @@
         .counters = daemon->counters,
         .connect_timeout =
             daemon->settings.connect_timeout_ms * LR_MILLISECOND,
-        .max_response_bytes = MAX_RESPONSE,
+        .max_head_bytes = MAX_RESPONSE_HEAD,
+        .max_body_bytes = MAX_RESPONSE_BODY,
+        .max_unfinished_bytes = MAX_UNFINISHED,
         .idle = on_idle,
         .data = gateway,
         .max_connections =
--- a/liblavenderrail/upstream.c
+++ b/liblavenderrail/upstream.c
@@ -51,6 +51,8 @@
     int events;
     LrUpstreamCall *call;
     LrMessage *response;
+    /* Bytes of the response that have come so far. */
+    size_t n_unfinished;
     GByteArray *out;
     size_t n_written;
     bool reused;
@@ -69,6 +71,8 @@
     GHashTable *pools;
     GString *head;
     size_t n_open;
+    /* Bytes of all responses that are being read. */
+    size_t n_unfinished;
     TAILQ_HEAD(, Conn) conns;
 };
 
@@ -115,6 +119,14 @@
     }
 }
 
+static void
+set_unfinished(Conn *conn, size_t n_bytes)
+{
+    conn->upstream->n_unfinished -= conn->n_unfinished;
+    conn->upstream->n_unfinished += n_bytes;
+    conn->n_unfinished = n_bytes;
+}
+
 static void
 close_conn(Conn *conn)
 {
@@ -124,6 +136,7 @@
         TAILQ_REMOVE(&pool->idle, conn, of_pool);
         set_idle(upstream, pool, pool->n_idle - 1);
     }
+    set_unfinished(conn, 0);
     ev_io_stop(upstream->config.loop, &conn->io);
     LrLoopTimers_Clear(upstream->config.timers, &conn->timer);
     close(conn->fd);
@@ -306,6 +319,20 @@
     return true;
 }
 
+/* Targets that send without end must not cost the process its memory. */
+static bool
+is_over_bound(const Conn *conn)
+{
+    const LrUpstream *upstream = conn->upstream;
+    if (upstream->n_unfinished <= upstream->config.max_unfinished_bytes) {
+        return false;
+    }
+    LR_LOG(upstream->config.log, LOG_WARNING, "responses_over_bound",
+           LrLog_Str("target", conn->pool->key),
+           LrLog_Int("bytes", (int64_t)conn->n_unfinished));
+    return true;
+}
+
 static void
 read_response(Conn *conn, const char *data, size_t len)
 {
@@ -315,13 +342,15 @@
             LrMessage_Feed(conn->response, data, len, &used);
         data += used;
         len -= used;
-        if (state == LR_MESSAGE_PARTIAL) {
+        set_unfinished(conn, conn->n_unfinished + used);
+        if (state == LR_MESSAGE_PARTIAL && !is_over_bound(conn)) {
             return;
         }
         if (state != LR_MESSAGE_COMPLETE) {
             end_call(conn, LR_UPSTREAM_MALFORMED);
             return;
         }
+        set_unfinished(conn, 0);
         /* Bytes after a response belong to no request. */
         conn->spoilt |= len > 0;
         if (!take_response(conn)) {
@@ -438,8 +467,8 @@
     conn->pool = pool;
     conn->fd = fd;
     conn->response = LrMessage_NewResponse();
-    LrMessage_SetBounds(conn->response, upstream->config.max_response_bytes,
-                        upstream->config.max_response_bytes);
+    LrMessage_SetBounds(conn->response, upstream->config.max_head_bytes,
+                        upstream->config.max_body_bytes);
     conn->out = g_byte_array_new();
     conn->timer = (LrTimer){.func = on_conn_timer, .data = conn};
     ev_io_init(&conn->io, on_ready, fd, 0);
--- a/liblavenderrail/upstream.h
+++ b/liblavenderrail/upstream.h
@@ -53,7 +53,11 @@
     LrLog *log;
     LrCounters *counters;
     LrTime connect_timeout;
-    size_t max_response_bytes;
+    /* Bounds of a response's head and body, and of all responses together
+     * that are being read. */
+    size_t max_head_bytes;
+    size_t max_body_bytes;
+    size_t max_unfinished_bytes;
     size_t max_connections;
     /* So many connections of that key are idle from now on. */
     void (*idle)(void *data, LrStr key, size_t n_idle);
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -124,6 +124,127 @@
     EXPECT_EQ(answer.header("X-Response-Seal"), "");
 }
 
+namespace {
+
+// A target that answers each request with bytes without end: what it is given,
+// again and again, until the caller closes.
+class EndlessServer {
+  public:
+    EndlessServer(int port, std::string begin, std::string more)
+        : begin_(std::move(begin)), more_(std::move(more))
+    {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        int on = 1;
+        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        sockaddr_in at = {};
+        at.sin_family = AF_INET;
+        at.sin_port = htons((uint16_t)port);
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(bind(listener_, (sockaddr *)&at, sizeof(at)), 0);
+        EXPECT_EQ(listen(listener_, 64), 0);
+        acceptor_ = std::thread([this] { accept_all(); });
+    }
+    ~EndlessServer()
+    {
+        shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        close(listener_);
+        for (std::thread &one : senders_) {
+            one.join();
+        }
+    }
+
+  private:
+    void
+    accept_all()
+    {
+        for (int fd; (fd = accept(listener_, nullptr, nullptr)) >= 0;) {
+            senders_.emplace_back([this, fd] { send_on(fd); });
+        }
+    }
+    void
+    send_on(int fd) const
+    {
+        char request[4096];
+        bool open = recv(fd, request, sizeof(request), 0) > 0;
+        /* Many requests are there when the bytes begin. */
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        open =
+            open && ::send(fd, begin_.data(), begin_.size(), MSG_NOSIGNAL) > 0;
+        while (open) {
+            open = ::send(fd, more_.data(), more_.size(), MSG_NOSIGNAL) > 0;
+        }
+        close(fd);
+    }
+
+    std::string begin_;
+    std::string more_;
+    int listener_;
+    std::thread acceptor_;
+    std::vector<std::thread> senders_;
+};
+
+long
+peak_kb(pid_t pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    long kb = 0;
+    for (std::string word; status >> word;) {
+        if (word == "VmHWM:") {
+            status >> kb;
+        }
+    }
+    return kb;
+}
+
+} // namespace
+
+// Targets send without end, in heads or in bodies: no such answer reaches a
+// caller, memory stays bounded, and others go on being served.
+TEST_F(RoutedTest, BytesWithoutEndAreNobodysAnswer)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n";
+    const std::string chunk = "10000\r\n" + std::string(65536, 'x') + "\r\n";
+    struct {
+        const char *name;
+        std::string begin, more;
+    } kinds[] = {
+        {"head", ok, "X-Fill: " + std::string(1000, 'a') + "\r\n"},
+        {"line", ok + "X-Fill: ", std::string(65536, 'a')},
+        {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+        {"body", ok + "\r\n", std::string(65536, 'x')},
+    };
+    int port = BASE + 150;
+    for (const auto &kind : kinds) {
+        EndlessServer one(port, kind.begin, kind.more);
+        EndlessServer two(port + 1, kind.begin, kind.more);
+        fleet->control("entry?id=c1&state=ready&address=127.0.0.1:" +
+                       std::to_string(port++));
+        fleet->control("entry?id=c2&state=ready&address=127.0.0.1:" +
+                       std::to_string(port++));
+        ASSERT_TRUE(eventually([&] {
+            return fleet->ask(1, "/c/x", "moved").status != 200;
+        })) << kind.name;
+        // Until the ejection of both is over.
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        for (int i = 0; i < 24; i++) {
+            callers.push_back(std::make_unique<RawCaller>(fleet->port(1)));
+            callers.back()->send(
+                RoutedFleet::request("/c/x", kind.name + std::to_string(i)));
+        }
+        EXPECT_TRUE(eventually([&] {
+            return fleet->ask(1, "/w/x", "beside").status == 200;
+        })) << kind.name;
+        for (auto &caller : callers) {
+            EXPECT_GE(caller->read().status, 500) << kind.name;
+        }
+    }
+    long peak = peak_kb(fleet->daemons[1]->pid);
+    EXPECT_GT(peak, 0);
+    EXPECT_LT(peak, 64 << 10) << "of 160 MB that the smallest host has";
+}
+
 TEST_F(RoutedTest, ATargetsFailureKeepsItsStatusAndSeal)
 {
     fleet->fault("c1", "error", 100);
