--- a/cli/trace.c
+++ b/cli/trace.c
@@ -22,6 +22,12 @@
 static const Phrase PHRASES[] = {
     {"request_refused",
      "refused with {status} before any attempt: {reason} ({host_name}{path})"},
+    {"request_forwarded", "handed to the aggregator {aggregator}"},
+    {"forward_refused", "not accepted: {why}"},
+    {"forward_declined", "the aggregator {aggregator} declined"},
+    {"forward_lost",
+     "the aggregator {aggregator} was lost after {ms} ms: {why}"},
+    {"forward_not_begun", "accepted, and never begun by its daemon"},
     {"attempt_repeated",
      "{cause} of shard {shard} to {target}, {left_ms} ms left"},
     {"attempt_failed", "attempt at {target} ended: {status}"},
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -193,14 +193,18 @@
            "cause=hedge shard=s1 target=\"t 1\" left_ms=90\n"
         << "<6>ts=1019 host=b event=attempt_unfinished id=r1 attempt=5 "
            "target=\"t 1\" phase=sent age_ms=19\n"
+        << "<6>ts=998 host=a event=request_forwarded id=r1 "
+           "aggregator=10.0.0.2:9\n"
         << "<6>ts=1001 host=b event=request_answered id=r12 status=200\n"
         << "no log line\n";
     Output story = run(BIN + "lavenderrail trace r1 < " + path);
     EXPECT_EQ(story.status, 0);
     size_t hedge = story.text.find("hedge of shard s1 to t 1, 90 ms left");
-    size_t answer = story.text.find("+   20 ms  b");
+    size_t answer = story.text.find("+   22 ms  b");
     EXPECT_NE(hedge, std::string::npos) << story.text;
     EXPECT_NE(answer, std::string::npos) << story.text;
+    EXPECT_TRUE(has(story, "handed to the aggregator 10.0.0.2:9"))
+        << story.text;
     EXPECT_LT(hedge, answer);
     EXPECT_TRUE(has(story, "attempt at t 1 not waited for: sent since 19 ms"))
         << story.text;
