tests: soak, routing, fuzz: zones of nine daemons; digests; forwarded queries

Every third seed of the soak has one zone of nine, in which three gather for the others, with their links behind the proxy.

--- a/tests/fuzz/fuzz_peer.c
+++ b/tests/fuzz/fuzz_peer.c
@@ -7,11 +7,12 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static const LrObjectSpec *const SPECS[] = {
-    &LrHelloMsg_Spec,  &LrProbeMsg_Spec,       &LrAskMsg_Spec,
-    &LrDeltaMsg_Spec,  &LrCallMsg_Spec,        &LrCallAnswerMsg_Spec,
-    &LrRelayMsg_Spec,  &LrRelayAnswerMsg_Spec, &LrRelayCancelMsg_Spec,
-    &LrYieldMsg_Spec,  &LrYieldAckMsg_Spec,    &LrYieldNoticeMsg_Spec,
-    &LrBorrowMsg_Spec, &LrLoanMsg_Spec,
+    &LrHelloMsg_Spec,         &LrProbeMsg_Spec,        &LrAskMsg_Spec,
+    &LrDeltaMsg_Spec,         &LrCallMsg_Spec,         &LrCallAnswerMsg_Spec,
+    &LrRelayMsg_Spec,         &LrRelayAnswerMsg_Spec,  &LrRelayCancelMsg_Spec,
+    &LrYieldMsg_Spec,         &LrYieldAckMsg_Spec,     &LrYieldNoticeMsg_Spec,
+    &LrBorrowMsg_Spec,        &LrLoanMsg_Spec,         &LrForwardMsg_Spec,
+    &LrForwardAnswerMsg_Spec, &LrForwardOrderMsg_Spec,
 };
 
 static void
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -127,7 +127,8 @@
         address = "127.0.0.1:%d"
         self.spawn("d%d" % i, [
             self.options.bin + "/lavenderraild", "--contract=platform",
-            "--name=d%d" % i, "--zone=" + ZONES[i % 3],
+            "--name=d%d" % i, "--zone=" + ZONES[i % self.options.zones],
+            "--speed=%g" % (0.5 if i <= 3 else 0.12),
             "--listen=" + address % self.port(i, 1),
             "--operator-listen=" + address % self.port(i, 2),
             "--peer-listen=" + address % self.port(i, 3),
@@ -619,13 +620,19 @@
     parser.add_argument("--logs", default="/tmp")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15)
-    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--daemons", type=int, help="default: by the seed")
+    parser.add_argument("--zones", type=int, help="default: by the seed")
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--port", type=int, default=29000)
     parser.add_argument("--plant", choices=[
         "refused", "twice", "unasked", "drain", "budget", "mixed",
         "coverage"], help="forge one violation, to see it noticed")
-    soak = Soak(parser.parse_args())
+    options = parser.parse_args()
+    # Every third seed has one zone of nine, in which three gather for all.
+    large = options.seed % 3 == 0
+    options.daemons = options.daemons or (9 if large else 4)
+    options.zones = options.zones or (1 if large else 3)
+    soak = Soak(options)
     try:
         asyncio.run(soak.run())
     finally:
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -211,3 +211,42 @@
     EXPECT_EQ(counts["deep#0"], 6);
     EXPECT_EQ(counts["deep#1"], 2);
 }
+
+// Hosts of two configurations may hand each other requests of the routes that
+// both know alike, and of no others.
+TEST_F(Routing, TheDigestOfARouteTellsWhetherTwoConfigurationsAgree)
+{
+    build();
+    auto digest = [&](const char *name) {
+        LrRoutes *routes = LrRouting_Routes(catalogue);
+        LrRoute *route = LrRoutes_Find(routes, LrStr_FromC(name));
+        return route ? LrRoutes_Digest(routes, route) : 0;
+    };
+    uint64_t all = digest("all");
+    uint64_t wide = digest("wide");
+    EXPECT_NE(all, 0U);
+    EXPECT_NE(all, wide);
+    EXPECT_EQ(digest("none"), 0U);
+    std::string changed = CONFIG;
+    changed.replace(changed.find("\"version\": 7"), 12, "\"version\": 8");
+    changed.replace(changed.rfind("{\"service\": \"two\"}"), 18,
+                    "{\"service\": \"new\"}");
+    LrStore_Set(store, LR_ROUTING_VALUE, 5, {changed.data(), changed.size()});
+    LrStore_SetRevision(store, 10);
+    build();
+    ASSERT_TRUE(catalogue);
+    EXPECT_EQ(digest("all"), all);
+    EXPECT_NE(digest("wide"), wide);
+}
+
+TEST_F(Routing, OnlyEntriesOfTheRouteAreTaken)
+{
+    build();
+    LrRoute *route =
+        LrRoutes_Find(LrRouting_Routes(catalogue), LrStr_FromC("deep"));
+    ASSERT_TRUE(route);
+    EXPECT_TRUE(LrStr_EqualC(LrRoute_OwnEntry(route, LrStr_FromC("deep#1")),
+                             "deep#1"));
+    EXPECT_EQ(LrRoute_OwnEntry(route, LrStr_FromC("all#0")).len, 0U);
+    EXPECT_EQ(LrRoute_OwnEntry(route, LrStr_FromC("")).len, 0U);
+}
