str, forward: reading: one list of seeds, one look-up of a route

Found on reading the whole change: readers split the list of seeds as member does (both call LrStr_TakeItem now); an offer's route was looked up twice by name; an answer carried a status that nobody read, since its head has the status line. Behaviour is the same.

--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -96,15 +96,11 @@
     g_free(forward);
 }
 
-/* What a catalogue says of a route; empty when it has none of that name. */
 static char *
-digest_text(const LrCatalogue *catalogue, const LrRouteSpec *spec)
+digest_text(const LrRoutes *routes, LrRoute *route)
 {
-    LrRoutes *routes = LrRouting_Routes(catalogue);
-    LrRoute *route = LrRoutes_Find(routes, spec->name);
-    return route ? g_strdup_printf("%016" G_GINT64_MODIFIER "x",
-                                   LrRoutes_Digest(routes, route))
-                 : g_strdup("");
+    return g_strdup_printf("%016" G_GINT64_MODIFIER "x",
+                           LrRoutes_Digest(routes, route));
 }
 
 /* Ends the hand-over and leaves the request to the caller of this. */
@@ -209,7 +205,9 @@
     const LrRouted *routed = handed->routed;
     LrDaemon *daemon = forward->daemon;
     LrTime now = LrLoop_Now();
-    g_autofree char *digest = digest_text(routed->catalogue, routed->route);
+    LrRoutes *routes = LrRouting_Routes(routed->catalogue);
+    g_autofree char *digest =
+        digest_text(routes, LrRoutes_Find(routes, routed->route->name));
     LrTime spent = now - routed->arrived_at + TRANSIT;
     LrTime left = time_left(routed, now);
     LrForwardMsg message = {
@@ -389,7 +387,7 @@
     }
     /* Routes of two configurations never mix, and no host may seem to go back
      * to an older one. */
-    g_autofree char *digest = digest_text(view->catalogue, route->spec);
+    g_autofree char *digest = digest_text(routes, route);
     *why =
         LrStr_EqualC(message->route_digest, digest) ? NULL : "another route";
     return *why ? NULL : route;
@@ -494,15 +492,14 @@
 }
 
 void
-LrForward_Answer(LrForward *forward, LrRouted *routed, unsigned status,
-                 const GString *head, GBytes *body)
+LrForward_Answer(LrForward *forward, LrRouted *routed, const GString *head,
+                 GBytes *body)
 {
     LrStr address = LrStr_FromC(routed->reply_to);
     LrForwardAnswerMsg answer = {
         .id = routed->remote_id,
         .request_id = LrStr_FromC(routed->id),
         .step = LR_FORWARD_ANSWERED,
-        .status = status,
         .head = {.ptr = head->str, .len = head->len},
         .body = LrStr_FromBytes(body),
         .isolated = forward->daemon->readiness == LR_UNREADY_ISOLATED,
--- a/liblavenderrail/forward.h
+++ b/liblavenderrail/forward.h
@@ -16,7 +16,7 @@
 /* The caller went away; false when the request was not handed over. */
 bool LrForward_Cancel(LrForward *forward, LrRouted *routed);
 /* Sends the answer of a request that came from another daemon. */
-void LrForward_Answer(LrForward *forward, LrRouted *routed, unsigned status,
+void LrForward_Answer(LrForward *forward, LrRouted *routed,
                       const GString *head, GBytes *body);
 void LrForward_OnRequest(LrForward *forward, const LrForwardMsg *message);
 void LrForward_OnAnswer(LrForward *forward, const LrForwardAnswerMsg *message);
--- a/liblavenderrail/gateway_answer.c
+++ b/liblavenderrail/gateway_answer.c
@@ -167,7 +167,7 @@
     log_answer(routed, answer, status);
     routed->incomplete = answer->outcome != LR_OUTCOME_COMPLETE;
     if (routed->reply_to) {
-        LrForward_Answer(routed->gateway->forward, routed, status, head, body);
+        LrForward_Answer(routed->gateway->forward, routed, head, body);
         g_clear_pointer(&body, g_bytes_unref);
         g_string_free(head, TRUE);
         LrRouted_Unref(routed);
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -749,8 +749,6 @@
     LrStr request_id;
     /* what this message says */
     LrForwardStep step;
-    /* HTTP status */
-    int64_t status;
     /* status line and headers of the answer */
     LrStr head;
     /* body of the answer */
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -56,6 +56,9 @@
 /* GHashTable functions for keys of type LrStr *. */
 guint LrStr_TableHash(gconstpointer key);
 gboolean LrStr_TableEqual(gconstpointer a, gconstpointer b);
+/* Takes the first item off a list that is joined by commas; false at its end.
+ * The item borrows from the list. */
+bool LrStr_TakeItem(LrStr *rest, LrStr *item);
 /* Parses a decimal whole number; false when anything else is there. */
 bool LrStr_ToInt(LrStr text, int64_t *out);
 /* Parses "IP:port" (IPv4 or [IPv6]); false unless both are valid numbers. */
--- a/liblavenderrail/member.c
+++ b/liblavenderrail/member.c
@@ -471,27 +471,16 @@
     }
 }
 
-static size_t
-split_seeds(LrStr seeds, LrStr *out, size_t most)
-{
-    size_t n = 0;
-    while (seeds.len > 0 && n < most) {
-        const char *comma = memchr(seeds.ptr, ',', seeds.len);
-        size_t len = comma ? (size_t)(comma - seeds.ptr) : seeds.len;
-        out[n++] = (LrStr){.ptr = seeds.ptr, .len = len};
-        len = MIN(seeds.len, len + 1);
-        seeds.ptr += len;
-        seeds.len -= len;
-    }
-    return n;
-}
-
 /* Probes a seed, whose name its answer tells. */
 static void
 probe_seed(LrMembers *members)
 {
     LrStr seeds[MAX_SEEDS];
-    size_t n = split_seeds(members->config.seeds, seeds, MAX_SEEDS);
+    LrStr rest = members->config.seeds;
+    size_t n = 0;
+    while (n < MAX_SEEDS && LrStr_TakeItem(&rest, &seeds[n])) {
+        n++;
+    }
     if (n == 0) {
         return;
     }
--- a/liblavenderrail/readers.c
+++ b/liblavenderrail/readers.c
@@ -6,8 +6,6 @@
  * into a running fleet reads at once, since callers wait for it. */
 #include "readers.h"
 
-#include <string.h>
-
 /* Watches that may pass without any reading being heard of. */
 #define STALE_WAITS 2
 
@@ -44,18 +42,11 @@
 bool
 LrReaders_IsSeed(LrStr seeds, LrStr address)
 {
-    while (seeds.len > 0) {
-        const char *comma = memchr(seeds.ptr, ',', seeds.len);
-        LrStr seed = {.ptr = seeds.ptr, .len = seeds.len};
-        if (comma) {
-            seed.len = (size_t)(comma - seeds.ptr);
-        }
+    LrStr seed;
+    while (LrStr_TakeItem(&seeds, &seed)) {
         if (LrStr_Equal(seed, address)) {
             return true;
         }
-        size_t skip = MIN(seeds.len, seed.len + 1);
-        seeds.ptr += skip;
-        seeds.len -= skip;
     }
     return false;
 }
--- a/liblavenderrail/str.c
+++ b/liblavenderrail/str.c
@@ -87,6 +87,23 @@
     return g_ascii_string_to_signed(copy, 10, INT64_MIN, INT64_MAX, out, NULL);
 }
 
+bool
+LrStr_TakeItem(LrStr *rest, LrStr *item)
+{
+    if (rest->len == 0) {
+        return false;
+    }
+    const char *comma = memchr(rest->ptr, ',', rest->len);
+    *item = (LrStr){.ptr = rest->ptr, .len = rest->len};
+    if (comma) {
+        item->len = (size_t)(comma - rest->ptr);
+    }
+    size_t used = MIN(rest->len, item->len + 1);
+    rest->ptr += used;
+    rest->len -= used;
+    return true;
+}
+
 bool
 LrStr_ToAddress(LrStr text, char *host, size_t host_size, uint16_t *port)
 {
