targets, platform: rate limits that targets name are logged

Change: replies carry a rate report (Server-Limit; Lr-Rate-Limit of the native protocol); event target_limit, counter target_limits, member rate in /state. No decision uses it yet.

--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -60,6 +60,7 @@
         LrRetryBudget_AddFirstAttempt(&part->group->state->budget,
                                       &engine->config.budget, now);
     }
+    LrRateLimit_CountSend(&target->rate, now);
     part->n_sent++;
     part->n_may_have_run++;
     part->state = LR_QUERY_PART_SENT;
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -15,6 +15,15 @@
     return json_stringn(text.ptr, text.len);
 }
 
+static json_t *
+dump_rate(const LrRateLimit *limit, LrTime now)
+{
+    json_t *per_second =
+        limit->limited ? json_real(limit->per_second) : json_null();
+    return json_pack("{s:o, s:f}", "limit_per_s", per_second, "sent_per_s",
+                     LrRateLimit_SendRate(limit, now));
+}
+
 static void
 dump_target(void *data, LrTarget *target)
 {
@@ -23,14 +32,16 @@
     json_array_append_new(
         list,
         json_pack(
-            "{s:o, s:o, s:o, s:i, s:i, s:f, s:f, s:f, s:b, s:b, s:b, s:i}",
+            "{s:o, s:o, s:o, s:i, s:i, s:f, s:o, s:f, s:f, s:b, s:b, s:b,"
+            " s:i}",
             "name", str_json(target->name), "address",
             str_json(target->address), "zone", str_json(target->zone),
             "in_flight", (int)target->in_flight, "idle_links",
             (int)target->idle_connections, "limit", target->limit.value,
-            "fault_share", LrTargets_FailureRatio(target, now), "slowness",
-            target->slowness, "leaving", LrTargets_IsLeaving(target, now),
-            "ejected", target->ejected_until > now, "zone_lost",
+            "rate", dump_rate(&target->rate, now), "fault_share",
+            LrTargets_FailureRatio(target, now), "slowness", target->slowness,
+            "leaving", LrTargets_IsLeaving(target, now), "ejected",
+            target->ejected_until > now, "zone_lost",
             target->zone_state->unreachable, "failures",
             (int)target->consecutive_failures));
 }
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -269,6 +269,20 @@
     return true;
 }
 
+/* Applies what the target states of itself in any reply. */
+static void
+apply_statements(LrEngine *engine, const LrAttempt *attempt,
+                 const LrReply *reply, LrTime now)
+{
+    LrTarget *target = attempt->target;
+    if (reply->draining) {
+        LrTargets_MarkLeaving(engine->targets, target, LR_LEAVING_BY_REPLY,
+                              now);
+    }
+    LrTargets_OnRateReport(engine->targets, target, &reply->rate,
+                           attempt->sent_at, now);
+}
+
 static void
 update_target(LrEngine *engine, const LrAttempt *attempt, const LrReply *reply,
               LrTime now)
@@ -277,10 +291,7 @@
     LrQuery *query = attempt->part->query;
     LrTime latency = now - attempt->sent_at;
     LrTime median_latency = LrDispatch_MedianLatency(query);
-    if (reply->draining) {
-        LrTargets_MarkLeaving(engine->targets, target, LR_LEAVING_BY_REPLY,
-                              now);
-    }
+    apply_statements(engine, attempt, reply, now);
     LrTargets_SetVersions(engine->targets, target, reply->oldest_version,
                           reply->newest_version);
     LrQuery_ConfirmCrashes(engine, target, reply->status, now);
@@ -329,10 +340,7 @@
 {
     LrTarget *target = attempt->target;
     LrTime latency = now - attempt->sent_at;
-    if (reply->draining) {
-        LrTargets_MarkLeaving(engine->targets, target, LR_LEAVING_BY_REPLY,
-                              now);
-    }
+    apply_statements(engine, attempt, reply, now);
     if (reply->status == LR_REPLY_OK) {
         LrTargets_OnSuccess(engine->targets, target, latency, now,
                             &reply->load, attempt->median_latency);
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1880,6 +1880,7 @@
     "forward_served",
     "forward_declined",
     "forward_lost",
+    "target_limits",
 };
 
 const char *const LrCounterId_Help[] = {
@@ -1934,6 +1935,7 @@
     "Forwarded queries executed for other daemons.",
     "Forwarded queries that an aggregator did not accept.",
     "Forwarded queries whose aggregator did not answer or was lost.",
+    "Rate limits that targets named, changed or ended.",
 };
 
 /* clang-format on */
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -826,6 +826,7 @@
     LR_COUNT_FORWARD_SERVED,
     LR_COUNT_FORWARD_DECLINED,
     LR_COUNT_FORWARD_LOST,
+    LR_COUNT_TARGET_LIMITS,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -63,6 +63,8 @@
 bool LrStr_NextListItem(LrStr *rest, LrStr *item);
 /* Parses a decimal integer; false when the text is anything else. */
 bool LrStr_ToInt(LrStr text, int64_t *out);
+/* Parses a finite decimal number; false when the text is anything else. */
+bool LrStr_ToReal(LrStr text, double *out);
 /* Parses "IP:port" (IPv4 or [IPv6]); false when it is anything else, such as a
  * host name. */
 bool LrStr_ToAddress(LrStr text, char *host, size_t host_size, uint16_t *port);
@@ -436,6 +438,47 @@
 bool LrConcurrencyLimit_HasCapacity(const LrConcurrencyLimit *limit,
                                     uint32_t in_flight);
 
+/* rate_limit.c: the request rate that a target accepts from all daemons
+ * together, as it states in its responses. */
+typedef enum {
+    /* Nothing that the target said. */
+    LR_RATE_REPORT_NONE,
+    /* A response that names no limit. */
+    LR_RATE_REPORT_UNLIMITED,
+    LR_RATE_REPORT_LIMITED,
+    /* A response with a limit that is not a number, or is negative. */
+    LR_RATE_REPORT_INVALID,
+} LrRateReportKind;
+
+typedef struct {
+    LrRateReportKind kind;
+    /* Set if limited. */
+    double per_second;
+} LrRateReport;
+
+/* Must be zeroed at first. */
+typedef struct {
+    bool limited;
+    /* The limit; 0 is a limit too. */
+    double per_second;
+    /* When the target was last heard to name the limit, or none. */
+    LrTime reported_at;
+    /* Requests that this daemon sent, each weighted by its age. */
+    double recent_sends;
+    LrTime recent_sends_at;
+} LrRateLimit;
+
+/* Parses the value of a header that names a limit; empty when absent. */
+LrRateReport LrRateReport_Parse(LrStr value);
+/* Applies a report from a reply to a request that was sent at sent_at. True if
+ * the limit was set, removed, or changed by more than a tenth. */
+bool LrRateLimit_Apply(LrRateLimit *limit, const LrRateReport *report,
+                       LrTime sent_at, LrTime now);
+/* Counts a request that was sent to the target. */
+void LrRateLimit_CountSend(LrRateLimit *limit, LrTime now);
+/* Requests per second that this daemon has recently sent to the target. */
+double LrRateLimit_SendRate(const LrRateLimit *limit, LrTime now);
+
 /* targets.c: the state of each target, and the selection of a replica. */
 typedef struct LrTarget LrTarget;
 typedef struct LrGroup LrGroup;
@@ -494,6 +537,7 @@
     uint32_t n_suspects;
     struct LrAttemptList attempts;
     LrConcurrencyLimit limit;
+    LrRateLimit rate;
     /* Smoothed latency as a multiple of the typical latency of the requested
      * entries, since entries with short and with long work share the target. 0
      * while unknown. */
@@ -635,6 +679,11 @@
  * while. */
 void LrTargets_MarkMisdirected(LrTargets *targets, LrTarget *target,
                                LrTime now);
+/* A reply to a request that was sent at sent_at reported a rate limit, or
+ * none. */
+void LrTargets_OnRateReport(LrTargets *targets, LrTarget *target,
+                            const LrRateReport *report, LrTime sent_at,
+                            LrTime now);
 /* Sets the range of versions that the target reports to serve. */
 void LrTargets_SetVersions(LrTargets *targets, LrTarget *target,
                            int64_t oldest, int64_t newest);
@@ -1098,6 +1147,7 @@
     int64_t newest_version;
     bool draining;
     LrLoadReport load;
+    LrRateReport rate;
     /* Opaque to the engine; kept with the body. */
     GBytes *head;
     GBytes *body;
--- a/liblavenderrail/record.c
+++ b/liblavenderrail/record.c
@@ -82,15 +82,6 @@
     return true;
 }
 
-static bool
-parse_real(LrStr text, double *value)
-{
-    g_autofree char *copy = LrStr_Dup(text);
-    char *end = copy;
-    *value = g_ascii_strtod(copy, &end);
-    return end != copy && (size_t)(end - copy) == text.len && isfinite(*value);
-}
-
 /* Rounds a fraction down: integer settings are limits, and a limit that a
  * platform divided by the size of its deployment need not be whole. */
 static bool
@@ -101,7 +92,7 @@
         *value = (double)integer;
         return true;
     }
-    bool valid = parse_real(text, value);
+    bool valid = LrStr_ToReal(text, value);
     *value = floor(*value);
     return valid;
 }
@@ -130,7 +121,7 @@
         valid = parse_integer(text, &value);
         break;
     case LR_FIELD_REAL:
-        valid = parse_real(text, &value);
+        valid = LrStr_ToReal(text, &value);
         break;
     case LR_FIELD_BOOL:
         valid = parse_bool(text, &value);
--- a/liblavenderrail/str.c
+++ b/liblavenderrail/str.c
@@ -2,6 +2,7 @@
 #include "lavenderrail.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -87,6 +88,22 @@
     return g_ascii_string_to_signed(copy, 10, INT64_MIN, INT64_MAX, out, NULL);
 }
 
+bool
+LrStr_ToReal(LrStr text, double *out)
+{
+    /* The number parser also accepts leading spaces, hexadecimal digits, and
+     * names such as inf. */
+    for (size_t i = 0; i < text.len; i++) {
+        if (!strchr("0123456789+-.eE", text.ptr[i])) {
+            return false;
+        }
+    }
+    g_autofree char *copy = LrStr_Dup(text);
+    char *end = copy;
+    *out = g_ascii_strtod(copy, &end);
+    return end != copy && (size_t)(end - copy) == text.len && isfinite(*out);
+}
+
 bool
 LrStr_NextListItem(LrStr *rest, LrStr *item)
 {
--- a/liblavenderrail/target_protocol.c
+++ b/liblavenderrail/target_protocol.c
@@ -118,8 +118,12 @@
     reply->draining =
         LrStr_EqualC(LrTransfer_Header(transfer, "Lr-Draining"), "1");
     read_versions(transfer, reply);
+    LrStr rate_limit = LrTransfer_Header(transfer, "Lr-Rate-Limit");
     bool not_run =
         LrStr_EqualC(LrTransfer_Header(transfer, "Lr-Not-Run"), "1");
+    if (rate_limit.len > 0 || result->status == STATUS_OK) {
+        reply->rate = LrRateReport_Parse(rate_limit);
+    }
     if (result->status == STATUS_GONE) {
         return not_run ? LR_REPLY_VERSION_GONE : LR_REPLY_REJECTED;
     }
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -596,6 +596,30 @@
     target->ejected_until = now + MAX_EJECTION_TIME;
 }
 
+void
+LrTargets_OnRateReport(LrTargets *targets, LrTarget *target,
+                       const LrRateReport *report, LrTime sent_at, LrTime now)
+{
+    if (report->kind == LR_RATE_REPORT_INVALID) {
+        LR_LOG(targets->config.log, LOG_INFO, "target_limit_invalid",
+               LrLog_Str("target", target->name));
+        return;
+    }
+    if (!LrRateLimit_Apply(&target->rate, report, sent_at, now)) {
+        return;
+    }
+    const LrRateLimit *limit = &target->rate;
+    LrCounters_Add(targets->config.counters, LR_COUNT_TARGET_LIMITS, 1);
+    g_autofree char *per_second =
+        limit->limited ? g_strdup_printf("%.2f", limit->per_second)
+                       : g_strdup("none");
+    g_autofree char *sent =
+        g_strdup_printf("%.2f", LrRateLimit_SendRate(limit, now));
+    LR_LOG(targets->config.log, LOG_NOTICE, "target_limit",
+           LrLog_Str("target", target->name), LrLog_CStr("per_s", per_second),
+           LrLog_CStr("sent_per_s", sent));
+}
+
 void
 LrTargets_SetVersions(LrTargets *targets, LrTarget *target, int64_t oldest,
                       int64_t newest)
