rate_limit, targets: the fleet keeps the rate that a target accepts

Change: rate_limit.c keeps one daemon's share: tokens at limit / senders, whole ones expire after a second, the first at a random phase, so that hundreds of daemons with a fraction of a request a second each save up nothing. Selection passes over a target without a token (first attempts, retries and hedges all go through it); a query whose coverage the limits do not allow now is refused at once, before any token is spent, as not run (reason target_limit).

--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -72,6 +72,23 @@
     return n_served >= LrGather_RequiredShards(spec, map->n_groups);
 }
 
+/* Whether the rate limits of targets leave room for one more request to as
+ * many shards as the entry requires. */
+static bool
+has_rate(const LrEngine *engine, const LrEntry *entry, LrTime now)
+{
+    const LrEntrySpec *spec = entry->spec;
+    const LrMap *map = entry->service->maps;
+    if (!spec->strict_coverage || !LrTargets_AnyLimited(engine->targets)) {
+        return true;
+    }
+    size_t n_with_rate = 0;
+    for (size_t i = 0; i < map->n_groups; i++) {
+        n_with_rate += LrTargets_HasRate(&map->groups[i], now);
+    }
+    return n_with_rate >= LrGather_RequiredShards(spec, map->n_groups);
+}
+
 LrReason
 LrAdmission_Check(LrEngine *engine, LrQuery *query, LrTime now)
 {
@@ -92,6 +109,9 @@
     if (!LrAdmission_HasCoverage(query->entry, now)) {
         return LR_REASON_NO_REPLICA;
     }
+    if (!has_rate(engine, query->entry, now)) {
+        return LR_REASON_TARGET_LIMIT;
+    }
     if (!take_entry_limits(engine, query->entry, now)) {
         query->entry->state->wants_loan = true;
         return LR_REASON_ENTRY_LIMIT;
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -179,6 +179,18 @@
                           LrAdmission_ReservedSlots(query, now), can_wait);
 }
 
+/* Why a part that was never sent has no target. */
+static LrReason
+missing_reason(const LrQueryPart *part, LrTime now)
+{
+    if (!group_serves_version(part, now)) {
+        return LR_REASON_NO_REPLICA;
+    }
+    bool rate_limited = LrTargets_HasUsableReplica(part->group, now) &&
+                        !LrTargets_HasRate(part->group, now);
+    return rate_limited ? LR_REASON_TARGET_LIMIT : LR_REASON_TARGET_FAILED;
+}
+
 static void
 give_up(LrQueryPart *part, LrTime now)
 {
@@ -187,8 +199,7 @@
     }
     LrReason reason = part->reason;
     if (reason == LR_REASON_NONE) {
-        reason = group_serves_version(part, now) ? LR_REASON_TARGET_FAILED
-                                                 : LR_REASON_NO_REPLICA;
+        reason = missing_reason(part, now);
     }
     LrGather_SetMissing(part, reason);
 }
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -20,8 +20,12 @@
 {
     json_t *per_second =
         limit->limited ? json_real(limit->per_second) : json_null();
-    return json_pack("{s:o, s:f}", "limit_per_s", per_second, "sent_per_s",
-                     LrRateLimit_SendRate(limit, now));
+    json_t *share =
+        limit->limited ? json_real(LrRateLimit_Share(limit)) : json_null();
+    return json_pack("{s:o, s:o, s:f, s:b}", "limit_per_s", per_second,
+                     "share_per_s", share, "sent_per_s",
+                     LrRateLimit_SendRate(limit, now), "spent",
+                     !LrRateLimit_HasToken(limit, now));
 }
 
 static void
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -36,6 +36,7 @@
     LrTokenBucket_Init(&engine->retry_bucket, RETRY_TOKENS_PER_SECOND,
                        MAX_RETRY_TOKENS, 0);
     LrQuota_Init(&engine->quota);
+    LrQuota_Init(&engine->scatter_senders);
     TAILQ_INIT(&engine->queries);
     engine->peers = g_array_new(FALSE, FALSE, sizeof(LrPeerSpec));
     engine->connections_per_daemon = 1;
@@ -201,11 +202,35 @@
  * moves connections to other replicas. */
 #define REBUILD_CHANGE_SHARE 0.25
 
+/* A daemon that started more recently may not know the whole fleet. */
+#define FLEET_DISCOVERY_TIME (5 * LR_SECOND)
+
+/* Passes on the number of daemons that the rate limits of targets are divided
+ * by. Like the quota of an entry's limit, a share shrinks at once and grows
+ * after a delay. */
+static void
+update_senders(LrEngine *engine, LrTime now)
+{
+    double least = 1;
+    if (now - engine->started_at < FLEET_DISCOVERY_TIME) {
+        least = (double)engine->config.budget_daemons;
+    }
+    double n_single = MAX(least, (double)engine->quota.count);
+    double n_scatter = n_single;
+    if (engine->limit_divisor > 0) {
+        LrQuota_Update(&engine->scatter_senders, now, 0,
+                       (unsigned)ceil(engine->limit_divisor));
+        n_scatter = MAX(least, (double)engine->scatter_senders.count);
+    }
+    LrTargets_SetSenders(engine->targets, n_scatter, n_single, now);
+}
+
 void
 LrEngine_SetLimitDivisor(LrEngine *engine, LrTime now, double divisor)
 {
     double change = fabs(divisor - engine->view_limit_divisor);
     engine->limit_divisor = divisor;
+    update_senders(engine, now);
     if (change > REBUILD_CHANGE_SHARE * engine->view_limit_divisor) {
         engine->view_limit_divisor = divisor;
         if (engine->view) {
@@ -420,6 +445,10 @@
 LrEngine_SetQuota(LrEngine *engine, LrTime now, unsigned rank, unsigned count)
 {
     LrQuota_Update(&engine->quota, now, rank, count);
+    if (engine->started_at == 0) {
+        engine->started_at = now;
+    }
+    update_senders(engine, now);
 }
 
 /* An entry that needs a loan asks again after this time. */
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -44,6 +44,7 @@
     "coordinator_lost",
     "ledger_full",
     "rejected",
+    "target_limit",
     NULL,
 };
 
@@ -1881,6 +1882,7 @@
     "forward_declined",
     "forward_lost",
     "target_limits",
+    "rate_limited",
 };
 
 const char *const LrCounterId_Help[] = {
@@ -1936,6 +1938,7 @@
     "Forwarded queries that an aggregator did not accept.",
     "Forwarded queries whose aggregator did not answer or was lost.",
     "Rate limits that targets named, changed or ended.",
+    "Selections of a target that left out one whose rate limit was used up.",
 };
 
 /* clang-format on */
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -52,6 +52,7 @@
     LR_REASON_COORDINATOR_LOST,
     LR_REASON_LEDGER_FULL,
     LR_REASON_REJECTED,
+    LR_REASON_TARGET_LIMIT,
     LR_REASON_COUNT
 } LrReason;
 extern const char *const LrReason_Names[];
@@ -827,6 +828,7 @@
     LR_COUNT_FORWARD_DECLINED,
     LR_COUNT_FORWARD_LOST,
     LR_COUNT_TARGET_LIMITS,
+    LR_COUNT_RATE_LIMITED,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -463,6 +463,11 @@
     double per_second;
     /* When the target was last heard to name the limit, or none. */
     LrTime reported_at;
+    /* Number of daemons that the limit is divided by. */
+    double n_senders;
+    /* Requests that this daemon may send at tokens_at. */
+    double tokens;
+    LrTime tokens_at;
     /* Requests that this daemon sent, each weighted by its age. */
     double recent_sends;
     LrTime recent_sends_at;
@@ -474,7 +479,15 @@
  * the limit was set, removed, or changed by more than a tenth. */
 bool LrRateLimit_Apply(LrRateLimit *limit, const LrRateReport *report,
                        LrTime sent_at, LrTime now);
-/* Counts a request that was sent to the target. */
+/* Requests per second that this daemon may send while the limit holds. */
+double LrRateLimit_Share(const LrRateLimit *limit);
+void LrRateLimit_SetSenders(LrRateLimit *limit, double n_senders, LrTime now);
+/* Starts without a whole token. The fraction, from 0 to 1, should be random:
+ * then daemons with small shares get their tokens at different times. */
+void LrRateLimit_ResetTokens(LrRateLimit *limit, double fraction, LrTime now);
+/* Whether the limit, if there is one, leaves room for a request now. */
+bool LrRateLimit_HasToken(const LrRateLimit *limit, LrTime now);
+/* Counts a request that was sent to the target, and takes its token. */
 void LrRateLimit_CountSend(LrRateLimit *limit, LrTime now);
 /* Requests per second that this daemon has recently sent to the target. */
 double LrRateLimit_SendRate(const LrRateLimit *limit, LrTime now);
@@ -518,6 +531,7 @@
 } LrLoadReport;
 
 struct LrTarget {
+    LrTargets *owner;
     uint32_t index;
     /* Unique name: the target's name, or its address where it has no
      * identity. */
@@ -656,6 +670,15 @@
 double LrTargets_ReportedQueue(const LrTarget *target, LrTime now);
 /* Whether requests can be sent to any replica of the group now. */
 bool LrTargets_HasUsableReplica(const LrGroup *group, LrTime now);
+/* Whether any target names a rate limit. */
+bool LrTargets_AnyLimited(const LrTargets *targets);
+/* Whether a usable replica of the group has no rate limit, or this daemon's
+ * share of it leaves room for a request now. */
+bool LrTargets_HasRate(const LrGroup *group, LrTime now);
+/* Sets the number of daemons that rate limits are divided by: for targets of a
+ * scatter-gather, and for those of single requests. */
+void LrTargets_SetSenders(LrTargets *targets, double n_scatter,
+                          double n_single, LrTime now);
 /* Whether every replica of a group is ejected: a retry would be useless. */
 bool LrTargets_AllEjected(const LrGroup *group, LrTime now);
 /* The target replied; typical is the median latency of what was requested, 0
@@ -782,6 +805,9 @@
     LrTarget **replicas;
     size_t n_replicas;
     bool relayed;
+    /* Number of daemons that send to its targets, where only a subset of the
+     * fleet does; 0 where all may. */
+    size_t n_senders;
     struct LrQueryPartList waiting[LR_CLASS_COUNT];
     uint32_t n_waiting;
 };
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -118,6 +118,8 @@
     GPtrArray *dirty_targets;
     GPtrArray *dirty_services;
     LrTime advanced_at;
+    /* When the engine was first told of the fleet. */
+    LrTime started_at;
     /* Time of the event being handled. */
     LrTime now;
     size_t n_queries;
@@ -131,6 +133,8 @@
     uint32_t connections_per_daemon;
     /* Number of daemons that fleet-wide limits are divided by; 0 for all. */
     double limit_divisor;
+    /* Daemons that gather, as the rate limits of targets are divided. */
+    LrQuota scatter_senders;
     /* Value of limit_divisor that the view was built with. */
     double view_limit_divisor;
 };
--- a/liblavenderrail/rate_limit.c
+++ b/liblavenderrail/rate_limit.c
@@ -1,8 +1,21 @@
-/* Rate limit of one target, which holds for all daemons together. */
+/* Rate limit of one target, which holds for all daemons together: each daemon
+ * keeps a share of it.
+ *
+ * A share is spent like tokens of a bucket. Unspent tokens expire after
+ * BURST_TIME, whole ones only, so that the daemons together send at most what
+ * the limit allows in the time observed and BURST_TIME before it. A bucket
+ * that holds at least one token would not do: hundreds of daemons with a
+ * fraction of a request per second each would save hundreds of requests. */
 #include "lavenderrail.h"
 
 #include <math.h>
 
+/* How long an unspent token is kept. It pays for the hedges and retries while
+ * another replica of the group stalls. */
+#define BURST_TIME LR_SECOND
+/* Requests per second that all daemons together send at least, to learn
+ * whether a limit still holds. */
+#define MIN_FLEET_RATE 0.5
 /* Time constant with which the count of recent sends decays. */
 #define SEND_RATE_DECAY_NS 2e9
 /* Relative change of a limit that is reported to the caller. */
@@ -22,6 +35,30 @@
                           .per_second = per_second};
 }
 
+double
+LrRateLimit_Share(const LrRateLimit *limit)
+{
+    return MAX(MIN_FLEET_RATE, limit->per_second) / MAX(1, limit->n_senders);
+}
+
+/* Tokens at a time, without those that have expired. */
+static double
+tokens_at(const LrRateLimit *limit, LrTime now)
+{
+    double share = LrRateLimit_Share(limit);
+    double age = (double)MAX(0, now - limit->tokens_at) / (double)LR_SECOND;
+    double kept = share * (double)BURST_TIME / (double)LR_SECOND;
+    double tokens = limit->tokens + share * age;
+    return tokens - MAX(0, floor(tokens - kept));
+}
+
+static void
+settle_tokens(LrRateLimit *limit, LrTime now)
+{
+    limit->tokens = tokens_at(limit, now);
+    limit->tokens_at = now;
+}
+
 bool
 LrRateLimit_Apply(LrRateLimit *limit, const LrRateReport *report,
                   LrTime sent_at, LrTime now)
@@ -38,12 +75,33 @@
     bool notable = limited != limit->limited ||
                    fabs(report->per_second - limit->per_second) >
                        NOTABLE_CHANGE * limit->per_second;
+    settle_tokens(limit, now);
     limit->limited = limited;
     limit->per_second = report->per_second;
     limit->reported_at = now;
     return notable;
 }
 
+void
+LrRateLimit_SetSenders(LrRateLimit *limit, double n_senders, LrTime now)
+{
+    settle_tokens(limit, now);
+    limit->n_senders = n_senders;
+}
+
+void
+LrRateLimit_ResetTokens(LrRateLimit *limit, double fraction, LrTime now)
+{
+    limit->tokens = fraction;
+    limit->tokens_at = now;
+}
+
+bool
+LrRateLimit_HasToken(const LrRateLimit *limit, LrTime now)
+{
+    return !limit->limited || tokens_at(limit, now) >= 1;
+}
+
 static double
 decayed_sends(const LrRateLimit *limit, LrTime now)
 {
@@ -54,6 +112,10 @@
 void
 LrRateLimit_CountSend(LrRateLimit *limit, LrTime now)
 {
+    if (limit->limited) {
+        settle_tokens(limit, now);
+        limit->tokens -= 1;
+    }
     limit->recent_sends = decayed_sends(limit, now) + 1;
     limit->recent_sends_at = now;
 }
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -53,6 +53,12 @@
     LrZoneDetector *zone_detector;
     uint32_t next_index;
     uint32_t next_round_robin;
+    /* Number of daemons that send to the targets of a scatter-gather, and of
+     * those that send single requests. */
+    double n_scatter_senders;
+    double n_single_senders;
+    /* Targets that name a rate limit. */
+    unsigned n_limited;
 };
 
 static void
@@ -60,6 +66,7 @@
 {
     LrTarget *target = data;
     target->zone_state->n_targets--;
+    target->owner->n_limited -= target->rate.limited;
     g_free((char *)target->key.ptr);
     g_free((char *)target->instance.ptr);
     g_free((char *)target->name.ptr);
@@ -110,6 +117,7 @@
         return target;
     }
     target = g_new0(LrTarget, 1);
+    target->owner = targets;
     target->index = targets->next_index++;
     target->key = copy_str(key);
     target->instance = copy_str(spec->instance);
@@ -276,6 +284,8 @@
     size_t n;
     double free_slots;
     bool any_eligible;
+    /* A replica was left out since the share of its rate limit is spent. */
+    bool any_rate_limited;
 } Candidates;
 
 static void
@@ -296,6 +306,10 @@
         if (adaptive && !include_ejected && is_ejected(target, now)) {
             continue;
         }
+        if (!LrRateLimit_HasToken(&target->rate, now)) {
+            out->any_rate_limited = true;
+            continue;
+        }
         out->any_eligible = true;
         if (avoid_suspects && target->n_suspects > 0) {
             continue;
@@ -319,6 +333,25 @@
     return false;
 }
 
+bool
+LrTargets_AnyLimited(const LrTargets *targets)
+{
+    return targets->n_limited > 0;
+}
+
+bool
+LrTargets_HasRate(const LrGroup *group, LrTime now)
+{
+    for (size_t i = 0; i < group->n_replicas; i++) {
+        const LrTarget *target = group->replicas[i];
+        if (!LrTargets_IsLeaving(target, now) && !is_ejected(target, now) &&
+            LrRateLimit_HasToken(&target->rate, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 LrTargets_AllEjected(const LrGroup *group, LrTime now)
 {
@@ -339,13 +372,15 @@
     Candidates found;
     collect_candidates(targets, group, version, now, tried, n_tried,
                        avoid_suspects, false, &found);
-    if (!found.any_eligible) {
+    if (!found.any_eligible && !found.any_rate_limited) {
         collect_candidates(targets, group, version, now, tried, n_tried,
                            avoid_suspects, true, &found);
         if (found.any_eligible) {
             LrCounters_Add(targets->config.counters, LR_COUNT_PANICS, 1);
         }
     }
+    LrCounters_Add(targets->config.counters, LR_COUNT_RATE_LIMITED,
+                   found.any_rate_limited);
     *any_eligible = found.any_eligible;
     const LrSelectionPolicy *policy = targets->policy;
     bool reserved = policy->adaptive && reserved_slots > 0 &&
@@ -596,6 +631,37 @@
     target->ejected_until = now + MAX_EJECTION_TIME;
 }
 
+/* Number of daemons that a target's rate limit is divided by. */
+static double
+count_senders(const LrTarget *target)
+{
+    for (guint i = 0; i < target->groups->len; i++) {
+        const LrGroup *group = target->groups->pdata[i];
+        if (group->n_senders > 0) {
+            return (double)group->n_senders;
+        }
+        if (group->map->n_groups > 1) {
+            return target->owner->n_scatter_senders;
+        }
+    }
+    return target->owner->n_single_senders;
+}
+
+static void
+log_rate_limit(const LrTargets *targets, const LrTarget *target, LrTime now)
+{
+    const LrRateLimit *limit = &target->rate;
+    g_autofree char *per_second =
+        limit->limited ? g_strdup_printf("%.2f", limit->per_second)
+                       : g_strdup("none");
+    g_autofree char *share = g_strdup_printf("%.2f", LrRateLimit_Share(limit));
+    g_autofree char *sent =
+        g_strdup_printf("%.2f", LrRateLimit_SendRate(limit, now));
+    LR_LOG(targets->config.log, LOG_NOTICE, "target_limit",
+           LrLog_Str("target", target->name), LrLog_CStr("per_s", per_second),
+           LrLog_CStr("share_per_s", share), LrLog_CStr("sent_per_s", sent));
+}
+
 void
 LrTargets_OnRateReport(LrTargets *targets, LrTarget *target,
                        const LrRateReport *report, LrTime sent_at, LrTime now)
@@ -605,19 +671,41 @@
                LrLog_Str("target", target->name));
         return;
     }
-    if (!LrRateLimit_Apply(&target->rate, report, sent_at, now)) {
+    bool was_limited = target->rate.limited;
+    bool notable = LrRateLimit_Apply(&target->rate, report, sent_at, now);
+    if (target->rate.limited && !was_limited) {
+        target->rate.n_senders = count_senders(target);
+        LrRateLimit_ResetTokens(&target->rate,
+                                LrRandom_Uniform(targets->config.random), now);
+    }
+    targets->n_limited += target->rate.limited;
+    targets->n_limited -= was_limited;
+    if (notable) {
+        LrCounters_Add(targets->config.counters, LR_COUNT_TARGET_LIMITS, 1);
+        log_rate_limit(targets, target, now);
+    }
+}
+
+static void
+update_senders(void *data, LrTarget *target)
+{
+    if (target->rate.limited) {
+        LrRateLimit_SetSenders(&target->rate, count_senders(target),
+                               *(LrTime *)data);
+    }
+}
+
+void
+LrTargets_SetSenders(LrTargets *targets, double n_scatter, double n_single,
+                     LrTime now)
+{
+    if (n_scatter == targets->n_scatter_senders &&
+        n_single == targets->n_single_senders) {
         return;
     }
-    const LrRateLimit *limit = &target->rate;
-    LrCounters_Add(targets->config.counters, LR_COUNT_TARGET_LIMITS, 1);
-    g_autofree char *per_second =
-        limit->limited ? g_strdup_printf("%.2f", limit->per_second)
-                       : g_strdup("none");
-    g_autofree char *sent =
-        g_strdup_printf("%.2f", LrRateLimit_SendRate(limit, now));
-    LR_LOG(targets->config.log, LOG_NOTICE, "target_limit",
-           LrLog_Str("target", target->name), LrLog_CStr("per_s", per_second),
-           LrLog_CStr("sent_per_s", sent));
+    targets->n_scatter_senders = n_scatter;
+    targets->n_single_senders = n_single;
+    LrTargets_Each(targets, update_senders, &now);
 }
 
 void
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -256,6 +256,9 @@
                    range_daemons.direct ? group->n_replicas
                                         : range_daemons.size);
         map->groups[i].state = group_state(states, group->name);
+        if (!topology->full_mesh) {
+            map->groups[i].n_senders = range_daemons.size;
+        }
         if (range_daemons.direct) {
             build_direct(view, &map->groups[i], group,
                          LrSubset_ConnectionsPerDaemon(
