cli: stand-ins name rate limits, explain shows them

Cause: neither stand-in could name a rate limit, and explain said nothing of targets that do. Change: fault "limit" of both stand-ins (Server-Limit, Lr-Rate-Limit); explain prints what a target accepts, this daemon's share, what it sent, and whether anything is left.

--- a/cli/lavenderrail.c
+++ b/cli/lavenderrail.c
@@ -422,9 +422,28 @@
     return NULL;
 }
 
-/* Prints the targets that get no new requests now, with the reason. */
+/* Prints the rate limit that a target names, if it names one. */
 static void
-print_unavailable_targets(const json_t *state)
+print_rate_limit(const json_t *target)
+{
+    const json_t *rate = json_object_get(target, "rate");
+    const json_t *limit = json_object_get(rate, "limit_per_s");
+    if (json_is_number(limit)) {
+        printf("  %s accepts %g requests/s from all daemons: %.2f/s from this "
+               "one, which sent %.2f/s%s\n",
+               member_text(target, "name"), json_number_value(limit),
+               json_number_value(json_object_get(rate, "share_per_s")),
+               json_number_value(json_object_get(rate, "sent_per_s")),
+               json_is_true(json_object_get(rate, "spent"))
+                   ? "; nothing is left now"
+                   : "");
+    }
+}
+
+/* Prints the targets that get no new requests now, with the reason, and those
+ * that limit their rate. */
+static void
+print_restricted_targets(const json_t *state)
 {
     size_t i;
     json_t *target;
@@ -441,6 +460,7 @@
             printf("  %s is at its concurrency limit: %g of %g in use\n",
                    member_text(target, "name"), used, limit);
         }
+        print_rate_limit(target);
     }
 }
 
@@ -468,7 +488,7 @@
                json_integer_value(json_object_get(entry, "service_queued")),
                json_integer_value(
                    json_object_get(entry, "service_waiting_parts")));
-        print_unavailable_targets(state);
+        print_restricted_targets(state);
     }
     json_decref(state);
     return status;
--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -43,6 +43,8 @@
     int error;
     int lose;
     int foreign;
+    /* Requests per second that it names as its limit; 0 for none. */
+    int limit;
 } Faults;
 
 typedef struct {
@@ -288,6 +290,10 @@
         "Keep-Alive: timeout=5\r\n",
         error ? "500 Broken" : "200 OK", foreign ? "not-" : "", (int)id.len,
         id.ptr, (int)id.len, id.ptr, searcher->id, searcher->running);
+    if (searcher->faults.limit > 0) {
+        g_string_append_printf(head, "Server-Limit: %d.0\r\n",
+                               searcher->faults.limit);
+    }
     LrCallerExchange_Reply(
         call, head,
         make_records(searcher, LrHttpMessage_RequestTarget(message)), false);
@@ -457,6 +463,7 @@
         {"work_ms", &faults->work_ms}, {"pause_ms", &faults->pause_ms},
         {"shed", &faults->shed},       {"error", &faults->error},
         {"lose", &faults->lose},       {"foreign", &faults->foreign},
+        {"limit", &faults->limit},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(known); i++) {
         if (!strcmp(known[i].name, name)) {
--- a/cli/standin_target.c
+++ b/cli/standin_target.c
@@ -31,6 +31,8 @@
     int half;
     int dead;
     int lie_queued;
+    /* Requests per second that it names as its limit; 0 for none. */
+    int limit;
     int oldest;
     int newest;
     char *crash_on;
@@ -84,6 +86,10 @@
     if (target->faults.draining) {
         LrExchange_AddHeader(job->exchange, "Lr-Draining", "1");
     }
+    if (target->faults.limit > 0) {
+        g_autofree char *limit = g_strdup_printf("%d", target->faults.limit);
+        LrExchange_AddHeader(job->exchange, "Lr-Rate-Limit", limit);
+    }
 }
 
 static void
@@ -439,6 +445,7 @@
         {"half", &faults->half},
         {"dead", &faults->dead},
         {"lie_queued", &faults->lie_queued},
+        {"limit", &faults->limit},
         {"oldest", &faults->oldest},
         {"newest", &faults->newest},
     };
