targets, fleet: daemons tell each other of rate limits

Change: probes carry up to four limits, or recent ends, with the age of the target's word; the newest word wins; nothing older than 10 s is passed on. Result: RoutedLimits.ALimitIsKnownToDaemonsThatDidNotAskItsTarget (three processes, one asked; a restarted one learns it too) and RateLimit.AReportOfAPeerIsKeptUntilANewerOneComes fail without it.

--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -1,6 +1,6 @@
 /* Messages between the daemons of a fleet: dispatches incoming ones, and
- * propagates membership, the catalogue, quarantined requests and leaving
- * targets. */
+ * propagates membership, the catalogue, quarantined requests, leaving targets
+ * and rate limits of targets. */
 #include "daemon.h"
 
 #include <stdlib.h>
@@ -13,7 +13,11 @@
 #include "readers.h"
 
 /* Rows of each kind that are piggybacked on one probe. */
-enum { MAX_QUARANTINED_PER_PROBE = 4, MAX_LEAVING_PER_PROBE = 4 };
+enum {
+    MAX_QUARANTINED_PER_PROBE = 4,
+    MAX_LEAVING_PER_PROBE = 4,
+    MAX_LIMITS_PER_PROBE = 4,
+};
 
 /* An unanswered delta request is repeated after this time. */
 #define DELTA_REQUEST_TIMEOUT (2 * LR_SECOND)
@@ -103,6 +107,11 @@
     probe.leaving = leaving;
     probe.n_leaving = LrLeavingTargets_NextBatch(
         daemon->leaving, quarantined.now, leaving, MAX_LEAVING_PER_PROBE);
+    LrTargetLimitMsg limits[MAX_LIMITS_PER_PROBE];
+    probe.limits = limits;
+    probe.n_limits = LrTargets_NextRateReports(
+        LrEngine_Targets(daemon->engine), quarantined.now, limits,
+        MAX_LIMITS_PER_PROBE);
     LrPeers_Send(daemon->peers, address, &LrProbeMsg_Descriptor, &probe);
 }
 
@@ -137,6 +146,15 @@
     }
 }
 
+static void
+apply_limits(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
+{
+    LrTargets *targets = LrEngine_Targets(daemon->engine);
+    for (size_t i = 0; i < message->n_limits; i++) {
+        LrTargets_OnPeerRateReport(targets, &message->limits[i], now);
+    }
+}
+
 static int64_t
 active_revision(const LrDaemon *daemon)
 {
@@ -189,6 +207,7 @@
     apply_config_age(daemon, message, now);
     apply_quarantined(daemon, message, now);
     apply_leaving(daemon, message, now);
+    apply_limits(daemon, message, now);
     if (message->n_news > 0) {
         LrFleet_PullIfNewer(daemon, message->news[0].address,
                             message->revision, now);
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1051,6 +1051,41 @@
     .n_fields = G_N_ELEMENTS(LrLeavingTargetMsg_Fields),
 };
 
+static const LrFieldDescriptor LrTargetLimitMsg_Fields[] = {
+    {.name = "target",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrTargetLimitMsg, target),
+     .hint = "name of the target, or its IP:port where it has no identity",
+     .required = true},
+    {.name = "limited",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrTargetLimitMsg, limited),
+     .hint = "whether it named a limit",
+     .required = true},
+    {.name = "per_s",
+     .kind = LR_FIELD_REAL,
+     .offset = offsetof(LrTargetLimitMsg, per_s),
+     .hint = "requests per second that it accepts from all daemons together",
+     .min = 0,
+     .max = 1000000000.0,
+     .fallback = 0},
+    {.name = "age_ms",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrTargetLimitMsg, age_ms),
+     .hint = "time since it said so, milliseconds",
+     .required = true,
+     .min = 0,
+     .max = 3600000},
+};
+
+const LrRecordDescriptor LrTargetLimitMsg_Descriptor = {
+    .name = "LrTargetLimitMsg",
+    .size = sizeof(LrTargetLimitMsg),
+    .tag = 0,
+    .fields = LrTargetLimitMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrTargetLimitMsg_Fields),
+};
+
 static const LrFieldDescriptor LrProbeMsg_Fields[] = {
     {.name = "sequence",
      .kind = LR_FIELD_INT,
@@ -1111,6 +1146,12 @@
      .offset = offsetof(LrProbeMsg, isolated),
      .hint = "whether the sender's zone is cut off, so that the sender can serve few requests",
      .fallback = 0},
+    {.name = "limits",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrProbeMsg, limits),
+     .hint = "rate limits of targets to disseminate",
+     .count_offset = offsetof(LrProbeMsg, n_limits),
+     .object = &LrTargetLimitMsg_Descriptor},
 };
 
 const LrRecordDescriptor LrProbeMsg_Descriptor = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -458,6 +458,19 @@
 } LrLeavingTargetMsg;
 extern const LrRecordDescriptor LrLeavingTargetMsg_Descriptor;
 
+/* What a target last said of its rate limit, disseminated with probes. */
+typedef struct {
+    /* name of the target, or its IP:port where it has no identity */
+    LrStr target;
+    /* whether it named a limit */
+    bool limited;
+    /* requests per second that it accepts from all daemons together */
+    double per_s;
+    /* time since it said so, milliseconds */
+    int64_t age_ms;
+} LrTargetLimitMsg;
+extern const LrRecordDescriptor LrTargetLimitMsg_Descriptor;
+
 /* Probe of the failure detector or its acknowledgement, with updates to disseminate. */
 typedef struct {
     /* matches an acknowledgement to its probe */
@@ -483,6 +496,9 @@
     int64_t heard_ms;
     /* whether the sender's zone is cut off, so that the sender can serve few requests */
     bool isolated;
+    /* rate limits of targets to disseminate */
+    LrTargetLimitMsg *limits;
+    size_t n_limits;
 } LrProbeMsg;
 extern const LrRecordDescriptor LrProbeMsg_Descriptor;
 #define LR_MSG_PROBE 2
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -475,10 +475,11 @@
 
 /* Parses the value of a header that names a limit; empty when absent. */
 LrRateReport LrRateReport_Parse(LrStr value);
-/* Applies a report from a reply to a request that was sent at sent_at. True if
- * the limit was set, removed, or changed by more than a tenth. */
+/* Applies a report that the target gave at reported_at, in the reply to a
+ * request that was sent at sent_at. True if the limit was set, removed, or
+ * changed by more than a tenth. */
 bool LrRateLimit_Apply(LrRateLimit *limit, const LrRateReport *report,
-                       LrTime sent_at, LrTime now);
+                       LrTime sent_at, LrTime reported_at, LrTime now);
 /* Requests per second that this daemon may send while the limit holds. */
 double LrRateLimit_Share(const LrRateLimit *limit);
 void LrRateLimit_SetSenders(LrRateLimit *limit, double n_senders, LrTime now);
@@ -673,7 +674,7 @@
 double LrTargets_ReportedQueue(const LrTarget *target, LrTime now);
 /* Whether requests can be sent to any replica of the group now. */
 bool LrTargets_HasUsableReplica(const LrGroup *group, LrTime now);
-/* Whether any target names a rate limit. */
+/* Whether any target names a rate limit, or has done so recently. */
 bool LrTargets_AnyLimited(const LrTargets *targets);
 /* Whether a usable replica of the group has no rate limit, or this daemon's
  * share of it leaves room for a request now. */
@@ -710,6 +711,14 @@
 void LrTargets_OnRateReport(LrTargets *targets, LrTarget *target,
                             const LrRateReport *report, LrTime sent_at,
                             LrTime now);
+/* A peer passed on what a target said of its rate limit; ignored if this
+ * daemon knows something newer. */
+void LrTargets_OnPeerRateReport(LrTargets *targets,
+                                const LrTargetLimitMsg *row, LrTime now);
+/* Takes up to that many rate limits in turn, to be sent to peers, and recent
+ * ends of limits; the names are borrowed. Returns their number. */
+size_t LrTargets_NextRateReports(LrTargets *targets, LrTime now,
+                                 LrTargetLimitMsg *out, size_t max);
 /* Sets the range of versions that the target reports to serve. */
 void LrTargets_SetVersions(LrTargets *targets, LrTarget *target,
                            int64_t oldest, int64_t newest);
--- a/liblavenderrail/rate_limit.c
+++ b/liblavenderrail/rate_limit.c
@@ -61,7 +61,7 @@
 
 bool
 LrRateLimit_Apply(LrRateLimit *limit, const LrRateReport *report,
-                  LrTime sent_at, LrTime now)
+                  LrTime sent_at, LrTime reported_at, LrTime now)
 {
     bool limited = report->kind == LR_RATE_REPORT_LIMITED;
     if (!limited && report->kind != LR_RATE_REPORT_UNLIMITED) {
@@ -69,7 +69,11 @@
     }
     /* Replies on different connections can overtake each other: one to an
      * older request does not remove the limit. */
-    if (!limited && (!limit->limited || sent_at < limit->reported_at)) {
+    if (!limited && limit->limited && sent_at < limit->reported_at) {
+        return false;
+    }
+    limit->reported_at = MAX(limit->reported_at, reported_at);
+    if (!limited && !limit->limited) {
         return false;
     }
     bool notable = limited != limit->limited ||
@@ -78,7 +82,6 @@
     settle_tokens(limit, now);
     limit->limited = limited;
     limit->per_second = report->per_second;
-    limit->reported_at = now;
     return notable;
 }
 
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -33,6 +33,8 @@
 /* Added to the estimate for a target in another zone, in typical latencies. */
 #define CROSS_ZONE_MEDIANS 0.2
 #define LEAVING_MARK_TIME (30 * LR_SECOND)
+/* Peers are told what a target said of its rate limit for this long. */
+#define RATE_REPORT_TTL (10 * LR_SECOND)
 #define VERSION_MISSING_TTL LR_SECOND
 #define BASE_EJECTION_TIME (500 * LR_MILLISECOND)
 #define MAX_EJECTION_TIME (20 * LR_SECOND)
@@ -57,8 +59,10 @@
      * those that send single requests. */
     double n_scatter_senders;
     double n_single_senders;
-    /* Targets that name a rate limit. */
-    unsigned n_limited;
+    /* Targets that name a rate limit, or have done so recently, and the one
+     * that the next batch for peers starts at. */
+    GPtrArray *limited;
+    guint next_limited;
 };
 
 static void
@@ -66,7 +70,7 @@
 {
     LrTarget *target = data;
     target->zone_state->n_targets--;
-    target->owner->n_limited -= target->rate.limited;
+    g_ptr_array_remove_fast(target->owner->limited, target);
     g_free((char *)target->key.ptr);
     g_free((char *)target->instance.ptr);
     g_free((char *)target->name.ptr);
@@ -82,6 +86,7 @@
     LrTargets *targets = g_new0(LrTargets, 1);
     targets->config = *config;
     targets->policy = policy;
+    targets->limited = g_ptr_array_new();
     targets->zone_detector = LrZoneDetector_New(config->zone, config->log);
     targets->by_key = g_hash_table_new_full(LrStr_TableHash, LrStr_TableEqual,
                                             NULL, free_target);
@@ -95,6 +100,7 @@
         return;
     }
     g_hash_table_unref(targets->by_key);
+    g_ptr_array_unref(targets->limited);
     LrZoneDetector_Free(targets->zone_detector);
     g_free(targets);
 }
@@ -336,7 +342,7 @@
 bool
 LrTargets_AnyLimited(const LrTargets *targets)
 {
-    return targets->n_limited > 0;
+    return targets->limited->len > 0;
 }
 
 bool
@@ -648,7 +654,8 @@
 }
 
 static void
-log_rate_limit(const LrTargets *targets, const LrTarget *target, LrTime now)
+log_rate_limit(const LrTargets *targets, const LrTarget *target,
+               const char *source, LrTime now)
 {
     const LrRateLimit *limit = &target->rate;
     g_autofree char *per_second =
@@ -659,7 +666,30 @@
         g_strdup_printf("%.2f", LrRateLimit_SendRate(limit, now));
     LR_LOG(targets->config.log, LOG_NOTICE, "target_limit",
            LrLog_Str("target", target->name), LrLog_CStr("per_s", per_second),
-           LrLog_CStr("share_per_s", share), LrLog_CStr("sent_per_s", sent));
+           LrLog_CStr("share_per_s", share), LrLog_CStr("sent_per_s", sent),
+           LrLog_CStr("source", source));
+}
+
+static void
+apply_rate_report(LrTargets *targets, LrTarget *target,
+                  const LrRateReport *report, LrTime sent_at,
+                  LrTime reported_at, LrTime now, const char *source)
+{
+    LrRateLimit *limit = &target->rate;
+    bool was_limited = limit->limited;
+    bool notable = LrRateLimit_Apply(limit, report, sent_at, reported_at, now);
+    if (limit->limited && !was_limited) {
+        limit->n_senders = count_senders(target);
+        LrRateLimit_ResetTokens(limit,
+                                LrRandom_Uniform(targets->config.random), now);
+        if (!g_ptr_array_find(targets->limited, target, NULL)) {
+            g_ptr_array_add(targets->limited, target);
+        }
+    }
+    if (notable) {
+        LrCounters_Add(targets->config.counters, LR_COUNT_TARGET_LIMITS, 1);
+        log_rate_limit(targets, target, source, now);
+    }
 }
 
 void
@@ -671,21 +701,63 @@
                LrLog_Str("target", target->name));
         return;
     }
-    bool was_limited = target->rate.limited;
-    bool notable = LrRateLimit_Apply(&target->rate, report, sent_at, now);
-    if (target->rate.limited && !was_limited) {
-        target->rate.n_senders = count_senders(target);
-        LrRateLimit_ResetTokens(&target->rate,
-                                LrRandom_Uniform(targets->config.random), now);
+    apply_rate_report(targets, target, report, sent_at, now, now, "reply");
+}
+
+void
+LrTargets_OnPeerRateReport(LrTargets *targets, const LrTargetLimitMsg *row,
+                           LrTime now)
+{
+    LrTarget *target = LrTargets_Lookup(targets, row->target);
+    LrTime reported_at = now - row->age_ms * LR_MILLISECOND;
+    if (!target || reported_at <= target->rate.reported_at) {
+        return;
     }
-    targets->n_limited += target->rate.limited;
-    targets->n_limited -= was_limited;
-    if (notable) {
-        LrCounters_Add(targets->config.counters, LR_COUNT_TARGET_LIMITS, 1);
-        log_rate_limit(targets, target, now);
+    LrRateReport report = {
+        .kind =
+            row->limited ? LR_RATE_REPORT_LIMITED : LR_RATE_REPORT_UNLIMITED,
+        .per_second = row->per_s,
+    };
+    apply_rate_report(targets, target, &report, reported_at, reported_at, now,
+                      "peer");
+}
+
+static void
+drop_outdated_limits(LrTargets *targets, LrTime now)
+{
+    for (guint i = targets->limited->len; i > 0; i--) {
+        const LrTarget *target = targets->limited->pdata[i - 1];
+        if (!target->rate.limited &&
+            now - target->rate.reported_at > RATE_REPORT_TTL) {
+            g_ptr_array_remove_index_fast(targets->limited, i - 1);
+        }
     }
 }
 
+size_t
+LrTargets_NextRateReports(LrTargets *targets, LrTime now,
+                          LrTargetLimitMsg *out, size_t max)
+{
+    drop_outdated_limits(targets, now);
+    guint n_targets = targets->limited->len;
+    size_t n = 0;
+    for (guint i = 0; i < n_targets && n < max; i++) {
+        const LrTarget *target =
+            targets->limited->pdata[targets->next_limited++ % n_targets];
+        LrTime age = now - target->rate.reported_at;
+        if (age > RATE_REPORT_TTL) {
+            continue;
+        }
+        out[n++] = (LrTargetLimitMsg){
+            .target = target->key,
+            .limited = target->rate.limited,
+            .per_s = target->rate.per_second,
+            .age_ms = age / LR_MILLISECOND,
+        };
+    }
+    return n;
+}
+
 static void
 update_senders(void *data, LrTarget *target)
 {
--- a/tests/routed.h
+++ b/tests/routed.h
@@ -292,6 +292,32 @@
         return ask(i, "/w/ready", "probe").header("X-Missing-Parts") == "0" &&
                ask(i, "/c/ready", "probe").status == 200;
     }
+    // Requests per second that daemon i believes a searcher accepts from all
+    // daemons; -1 while it knows no limit.
+    double
+    rate_limit(int i, const std::string &id) const
+    {
+        HttpAnswer answer = http("http://" + address(10 * i + 2) + "/state",
+                                 nullptr, {}, 2000);
+        json_t *json =
+            json_loadb(answer.body.data(), answer.body.size(), 0, nullptr);
+        double limit = -1;
+        size_t n;
+        json_t *target;
+        json_array_foreach(json_object_get(json, "targets"), n, target)
+        {
+            std::string name =
+                json_string_value(json_object_get(target, "name"));
+            json_t *value = json_object_get(json_object_get(target, "rate"),
+                                            "limit_per_s");
+            if (name.substr(0, name.find('@')) == id &&
+                json_is_number(value)) {
+                limit = json_number_value(value);
+            }
+        }
+        json_decref(json);
+        return limit;
+    }
     // Searchers that ran the request of that id, one entry for each run.
     std::vector<std::string>
     runs(const std::string &id) const
--- a/tests/routed_harness.h
+++ b/tests/routed_harness.h
@@ -7,13 +7,13 @@
 class RoutedHarness : public EngineHarness {
   public:
     RoutedHarness(int n_groups, int n_replicas, double ratio = 0.2,
-                  double extra = 100)
+                  double extra = 100, uint64_t seed = 3)
         : EngineHarness(n_groups, n_replicas)
     {
         LrEngine_Free(engine);
         LrEngineConfig config = {};
         config.zone = LrStr_FromC("z0");
-        config.seed = 3;
+        config.seed = seed;
         config.budget = {ratio, extra, 10 * LR_SECOND};
         config.hedge_medians = 2;
         config.confirm_crashes = true;
@@ -31,7 +31,9 @@
            "min_coverage":0.28,"strict_coverage":true,"max_attempts":1},
           {"name":"soon","owner":"o","service":"s","deadline_ms":500,
            "soft_deadline_ms":100,"min_coverage":0.5,"strict_coverage":true,
-           "max_attempts":2},
+           "max_attempts":2,"max_concurrency":100000,"rate_per_s":100000},
+          {"name":"any","owner":"o","service":"s","deadline_ms":500,
+           "max_attempts":2,"max_concurrency":100000,"rate_per_s":100000},
           {"name":"once","owner":"o","service":"s","deadline_ms":500,
            "idempotent":false,"max_attempts":2})";
         publish({2});
--- a/tests/test_rate_limit.cc
+++ b/tests/test_rate_limit.cc
@@ -13,6 +13,9 @@
 constexpr LrTime RULE_WINDOW = 4 * LR_SECOND;
 constexpr double RULE_RATIO = 1.5;
 constexpr double RULE_EXTRA = 5;
+// Retry budget of the fleet.
+constexpr double BUDGET_RATIO = 0.2;
+constexpr double BUDGET_EXTRA = 100;
 
 double
 allowed_by_rule(double per_second)
@@ -52,7 +55,8 @@
         : demand(queries_per_second), random(LrRandom_New(seed))
     {
         for (size_t i = 0; i < demand.size(); i++) {
-            daemons.push_back(std::make_unique<RoutedHarness>(2, n_targets));
+            daemons.push_back(std::make_unique<RoutedHarness>(
+                2, n_targets, BUDGET_RATIO, BUDGET_EXTRA, seed * 1000 + i));
             LrEngine *engine = daemons[i]->engine;
             LrEngine_SetQuota(engine, LR_SECOND, (unsigned)i,
                               (unsigned)demand.size());
@@ -83,22 +87,16 @@
         }
     }
 
-    // The most requests that a target got in any window from a time on.
+    // The most requests that a target got in any window between two times.
     size_t
-    most_in_window(size_t target, LrTime from, LrTime window = RULE_WINDOW)
+    most_in_window(size_t target, LrTime from, LrTime until = LR_NEVER)
     {
-        const std::vector<LrTime> &at = targets[target].arrivals;
         size_t most = 0;
-        size_t first = 0;
-        for (size_t last = 0; last < at.size(); last++) {
-            while (at[first] < from || at[last] - at[first] >= window) {
-                if (first == last) {
-                    break;
-                }
-                first++;
-            }
-            if (at[last] >= from) {
-                most = std::max(most, last - first + 1);
+        for (LrTime start : targets[target].arrivals) {
+            if (start >= from) {
+                most = std::max(
+                    most, arrivals(target, start,
+                                   std::min(until, start + RULE_WINDOW)));
             }
         }
         return most;
@@ -128,7 +126,7 @@
         return (double)n_complete / (double)n;
     }
 
-    const char *entry = "ask";
+    const char *entry = "any";
     std::vector<double> demand;
     std::vector<TargetPlan> targets;
     std::vector<std::unique_ptr<RoutedHarness>> daemons;
@@ -244,6 +242,124 @@
     EXPECT_GE(fleet.complete_share(), 0.99);
 }
 
+TEST(RateLimit, AReportOfAPeerIsKeptUntilANewerOneComes)
+{
+    RoutedHarness teller(1, 1);
+    RoutedHarness listener(1, 1);
+    teller.rate_report = {LR_RATE_REPORT_LIMITED, 10};
+    teller.submit("ask");
+    teller.reply(teller.take(), LR_REPLY_OK);
+    LrTargetLimitMsg rows[4];
+    auto pass_on = [&](RoutedHarness &from, RoutedHarness &to) {
+        LrTargets *targets = LrEngine_Targets(from.engine);
+        size_t n = LrTargets_NextRateReports(targets, from.now, rows, 4);
+        for (size_t i = 0; i < n; i++) {
+            LrTargets_OnPeerRateReport(LrEngine_Targets(to.engine), &rows[i],
+                                       to.now);
+        }
+        return n;
+    };
+    EXPECT_EQ(pass_on(teller, listener), 1U);
+    const LrRateLimit &heard = listener.target("127.0.0.0:1")->rate;
+    EXPECT_TRUE(heard.limited);
+    EXPECT_EQ(heard.per_second, 10);
+    EXPECT_FALSE(LrRateLimit_HasToken(&heard, listener.now))
+        << "nobody starts with a token";
+
+    // The listener finds that the limit has ended; the older report of its
+    // peer doesn't bring it back, and the peer learns of the end.
+    listener.advance(LR_SECOND);
+    teller.advance(LR_SECOND);
+    listener.rate_report = {LR_RATE_REPORT_UNLIMITED, 0};
+    listener.submit("ask");
+    listener.reply(listener.take(), LR_REPLY_OK);
+    EXPECT_FALSE(heard.limited);
+    EXPECT_EQ(pass_on(teller, listener), 1U);
+    EXPECT_FALSE(heard.limited);
+    EXPECT_EQ(pass_on(listener, teller), 1U);
+    EXPECT_FALSE(teller.target("127.0.0.0:1")->rate.limited);
+
+    listener.advance(20 * LR_SECOND);
+    EXPECT_EQ(pass_on(listener, teller), 0U) << "old news are not repeated";
+}
+
+TEST(RateLimit, ARequestIsRefusedAtOnceWhenTheLimitsLeaveNoCoverage)
+{
+    RoutedHarness harness(3, 1);
+    harness.rate_report = {LR_RATE_REPORT_LIMITED, 2};
+    harness.submit("strict");
+    while (!harness.sends.empty()) {
+        harness.reply(harness.take(), LR_REPLY_OK);
+    }
+    harness.answers.clear();
+    harness.submit("strict");
+    EXPECT_TRUE(harness.sends.empty());
+    ASSERT_EQ(harness.answers.size(), 1U);
+    EXPECT_EQ(harness.answers[0].outcome, LR_OUTCOME_NOT_RUN);
+    EXPECT_EQ(harness.answers[0].reason, LR_REASON_TARGET_LIMIT);
+    EXPECT_EQ(harness.count(LR_COUNT_PANICS), 0U);
+
+    harness.advance(LR_SECOND);
+    harness.submit("strict");
+    EXPECT_EQ(harness.sends.size(), 3U) << "two requests a second are allowed";
+}
+
+TEST(RateLimit, AReplyToAnOlderRequestDoesNotEndTheLimit)
+{
+    RoutedHarness harness(1, 1);
+    harness.submit("ask", false, "a");
+    harness.submit("ask", false, "b");
+    Send early = harness.take();
+    harness.rate_report = {LR_RATE_REPORT_LIMITED, 10};
+    harness.now += 5 * MS;
+    harness.reply(harness.take(), LR_REPLY_OK);
+    harness.rate_report = {LR_RATE_REPORT_UNLIMITED, 0};
+    harness.now += 5 * MS;
+    harness.reply(early, LR_REPLY_OK);
+    EXPECT_TRUE(harness.target("127.0.0.0:1")->rate.limited);
+}
+
+TEST(RateLimit, ATargetThatAcceptsNothingIsAskedWhetherItStillDoes)
+{
+    LimitedFleet fleet(UNEVEN, 1);
+    fleet.targets[0].limit = 0;
+    fleet.targets[0].limited_until = 20 * LR_SECOND;
+    fleet.run(30 * LR_SECOND);
+    EXPECT_LE((double)fleet.most_in_window(0, 6 * LR_SECOND, 20 * LR_SECOND),
+              allowed_by_rule(0));
+    EXPECT_GT(fleet.arrivals(0, 28 * LR_SECOND), 100U) << "the limit ended";
+}
+
+// Hundreds of daemons with a fraction of a request per second each: what each
+// of them may save must not add up.
+TEST(RateLimit, ManyDaemonsWithSmallSharesKeepTheLimit)
+{
+    for (uint64_t seed = 1; seed <= 5; seed++) {
+        LimitedFleet fleet(std::vector<double>(200, 1.0), 3, seed);
+        limit_two_of_three(fleet);
+        fleet.run(24 * LR_SECOND);
+        expect_rule_kept(fleet);
+        EXPECT_GE(fleet.complete_share(), 0.99);
+    }
+}
+
+TEST(RateLimit, OnlyNumbersAreTakenForLimits)
+{
+    for (const char *bad : {"many", "-1", "inf", "nan", "0x10", "1e400", "1,2",
+                            " 5", "5 ", "."}) {
+        EXPECT_EQ(LrRateReport_Parse(LrStr_FromC(bad)).kind,
+                  LR_RATE_REPORT_INVALID)
+            << bad;
+    }
+    EXPECT_EQ(LrRateReport_Parse(LrStr_FromC("")).kind,
+              LR_RATE_REPORT_UNLIMITED);
+    LrRateReport report = LrRateReport_Parse(LrStr_FromC("13.8"));
+    EXPECT_EQ(report.kind, LR_RATE_REPORT_LIMITED);
+    EXPECT_DOUBLE_EQ(report.per_second, 13.8);
+    EXPECT_EQ(LrRateReport_Parse(LrStr_FromC("0")).kind,
+              LR_RATE_REPORT_LIMITED);
+}
+
 // The unlimited replica stalls for 200 ms each 4.5 s; the limited ones have to
 // take the queries of that time, so that 99 in 100 are answered whole in time.
 TEST(RateLimit, TokensAreLeftForStallsOfTheUnlimitedReplica)
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -481,3 +481,34 @@
     EXPECT_TRUE(eventually([&] { return fleet->ready(1); }));
     EXPECT_TRUE(eventually([&] { return fleet->serves(1); }));
 }
+
+TEST(RoutedLimits, ALimitIsKnownToDaemonsThatDidNotAskItsTarget)
+{
+    RoutedFleet fleet(28700, 3, 1);
+    fleet.setup();
+    for (int i = 1; i <= 3; i++) {
+        ASSERT_TRUE(eventually([&] { return fleet.serves(i); }));
+    }
+    fleet.fault("a1", "limit", 20);
+    ASSERT_TRUE(eventually([&] {
+        fleet.ask(1, "/w/x", "told");
+        return fleet.rate_limit(1, "a1") == 20;
+    }));
+    for (int i = 2; i <= 3; i++) {
+        EXPECT_TRUE(eventually([&] {
+            return fleet.rate_limit(i, "a1") == 20;
+        })) << i;
+    }
+    fleet.daemons[2]->signal(SIGKILL);
+    fleet.daemons[2]->wait();
+    fleet.start(2);
+    EXPECT_TRUE(eventually([&] {
+        fleet.ask(1, "/w/x", "still");
+        return fleet.rate_limit(2, "a1") == 20;
+    })) << "a daemon that was restarted learns of it too";
+    fleet.fault("a1", "limit", 0);
+    EXPECT_TRUE(eventually([&] {
+        fleet.ask(1, "/w/x", "ended");
+        return fleet.rate_limit(3, "a1") < 0;
+    }));
+}
