targets, fleet: a target that says that it is leaving is known to all daemons

Callers saw nothing; on the native interface a target that names Lr-Draining got a request from each daemon that had not asked it yet, and from all again when their mark ended after 30 s, or after a restart: up to one request a daemon, long after the few seconds in which new work has to stop. Result: Fleet.ATargetThatSaysItIsLeavingGetsNothingFromDaemonsThatDidNotAskIt fails before (two of three daemons never learn it in 10 s), passes now; 44 of 44 tests.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -472,6 +472,7 @@
     daemon->client = LrClient_New(loop, 0, (size_t)settings->max_body_bytes);
     start_timers(daemon);
     daemon->leaving = LrLeavingTargets_New();
+    daemon->stated_leaving = LrLeavingTargets_New();
     daemon->aggregators = LrAggregators_New(
         settings->name, settings->zone, LrEngine_Random(daemon->engine), log);
     daemon->relay = LrRelay_New(daemon);
@@ -513,6 +514,7 @@
     g_hash_table_unref(daemon->forwarded_calls);
     LrRelay_Free(daemon->relay);
     LrLeavingTargets_Free(daemon->leaving);
+    LrLeavingTargets_Free(daemon->stated_leaving);
     LrHandoff_Free(daemon->handoff);
     LrAggregators_Free(daemon->aggregators);
     LrActiveCatalogue_Free(daemon->active_catalogue);
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -59,6 +59,8 @@
     LrMembers *members;
     LrAggregators *aggregators;
     LrLeavingTargets *leaving;
+    /* Targets that said themselves that they are leaving. */
+    LrLeavingTargets *stated_leaving;
     LrRelay *relay;
     LrHandoff *handoff;
     GHashTable *forwarded_calls;
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -91,6 +91,21 @@
     }
 }
 
+/* Fills rows with leaving targets, first those that the host list marks;
+ * returns their number, up to twice MAX_LEAVING_PER_PROBE. */
+static size_t
+collect_leaving(LrDaemon *daemon, LrTime now, LrLeavingTargetMsg *rows)
+{
+    size_t n = LrLeavingTargets_NextBatch(daemon->leaving, now, rows,
+                                          MAX_LEAVING_PER_PROBE);
+    size_t n_stated = LrLeavingTargets_NextBatch(
+        daemon->stated_leaving, now, rows + n, MAX_LEAVING_PER_PROBE);
+    for (size_t i = n; i < n + n_stated; i++) {
+        rows[i].by_target = true;
+    }
+    return n + n_stated;
+}
+
 static void
 send_probe(void *data, LrStr address, const LrProbeMsg *message)
 {
@@ -103,10 +118,9 @@
     probe.isolated = daemon->isolated;
     probe.condemned = quarantined.rows;
     probe.n_condemned = quarantined.n;
-    LrLeavingTargetMsg leaving[MAX_LEAVING_PER_PROBE];
+    LrLeavingTargetMsg leaving[2 * MAX_LEAVING_PER_PROBE];
     probe.leaving = leaving;
-    probe.n_leaving = LrLeavingTargets_NextBatch(
-        daemon->leaving, quarantined.now, leaving, MAX_LEAVING_PER_PROBE);
+    probe.n_leaving = collect_leaving(daemon, quarantined.now, leaving);
     LrTargetLimitMsg limits[MAX_LIMITS_PER_PROBE];
     probe.limits = limits;
     probe.n_limits = LrTargets_NextRateReports(
@@ -138,6 +152,13 @@
         const LrLeavingTargetMsg *row = &message->leaving[i];
         LrTime left = MIN(row->left_ms * LR_MILLISECOND, LR_LEAVING_TTL);
         LrTarget *target = LrTargets_Lookup(targets, row->address);
+        if (row->by_target) {
+            if (target) {
+                LrTargets_MarkLeavingUntil(
+                    targets, target, LR_LEAVING_BY_REPLY, now + left, now);
+            }
+            continue;
+        }
         LrLeavingTargets_Add(daemon->leaving, row->address, now + left);
         if (target) {
             LrTargets_MarkLeaving(targets, target, LR_LEAVING_BY_HOST_LIST,
@@ -484,6 +505,20 @@
     g_array_unref(peers);
 }
 
+/* Peers are told of targets that said that they are leaving, also by those
+ * that learnt it from a peer; the time of the mark is passed on and not
+ * renewed. */
+static void
+add_stated_leaving(void *data, LrTarget *target)
+{
+    LrDaemon *daemon = data;
+    if ((target->leaving_sources & LR_LEAVING_BY_REPLY) &&
+        LrTargets_IsLeaving(target, LrClock_Now())) {
+        LrLeavingTargets_Add(daemon->stated_leaving, target->key,
+                             target->leaving_until);
+    }
+}
+
 static void
 on_interval(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -493,6 +528,8 @@
     LrTime now = LrClock_Now();
     LrMembers_Tick(daemon->members, now);
     LrActiveCatalogue_ExpireHeld(daemon->active_catalogue, now);
+    LrTargets_Each(LrEngine_Targets(daemon->engine), add_stated_leaving,
+                   daemon);
     LrFleet_UpdateReaderRole(daemon, now);
     unsigned count;
     unsigned rank = LrMembers_FleetRank(daemon->members, &count);
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1041,6 +1041,11 @@
      .required = true,
      .min = 0,
      .max = 3600000},
+    {.name = "by_target",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrLeavingTargetMsg, by_target),
+     .hint = "whether the target said so itself; otherwise the host list did",
+     .fallback = 0},
 };
 
 const LrRecordDescriptor LrLeavingTargetMsg_Descriptor = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -449,12 +449,14 @@
 } LrQuarantinedMsg;
 extern const LrRecordDescriptor LrQuarantinedMsg_Descriptor;
 
-/* A target that the host list reports as leaving, disseminated with probes. */
+/* A target that is leaving, disseminated with probes. */
 typedef struct {
     /* IP:port of the target */
     LrStr address;
     /* time until this report expires, milliseconds */
     int64_t left_ms;
+    /* whether the target said so itself; otherwise the host list did */
+    bool by_target;
 } LrLeavingTargetMsg;
 extern const LrRecordDescriptor LrLeavingTargetMsg_Descriptor;
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -695,6 +695,10 @@
 void LrTargets_OnFailure(LrTargets *targets, LrTarget *target, LrTime now);
 void LrTargets_MarkLeaving(LrTargets *targets, LrTarget *target,
                            LrLeavingSource source, LrTime now);
+/* The same, until a time, when a peer passed the mark on. */
+void LrTargets_MarkLeavingUntil(LrTargets *targets, LrTarget *target,
+                                LrLeavingSource source, LrTime until,
+                                LrTime now);
 void LrTargets_ClearLeaving(LrTargets *targets, LrTarget *target,
                             LrLeavingSource source);
 bool LrTargets_IsLeaving(const LrTarget *target, LrTime now);
--- a/liblavenderrail/leaving_targets.c
+++ b/liblavenderrail/leaving_targets.c
@@ -1,6 +1,8 @@
-/* Targets that the host list marks as leaving. Daemons that read the list keep
- * a target for as long as it is marked; the others learn of it from peers and
- * keep it for a limited time, so that it expires when no reader renews it. */
+/* Leaving targets, to be passed on to peers: those that the host list marks,
+ * and in a list of their own those that said so themselves. Daemons that read
+ * the host list keep a target for as long as it is marked; the others learn of
+ * it from peers and keep it for a limited time, so that it expires when no
+ * reader renews it. */
 #include "lavenderrail.h"
 
 #include <string.h>
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -601,6 +601,14 @@
 void
 LrTargets_MarkLeaving(LrTargets *targets, LrTarget *target,
                       LrLeavingSource source, LrTime now)
+{
+    LrTargets_MarkLeavingUntil(targets, target, source,
+                               now + LEAVING_MARK_TIME, now);
+}
+
+void
+LrTargets_MarkLeavingUntil(LrTargets *targets, LrTarget *target,
+                           LrLeavingSource source, LrTime until, LrTime now)
 {
     if (!LrTargets_IsLeaving(target, now)) {
         target->leaving_sources = 0;
@@ -608,7 +616,7 @@
                LrLog_Str("target", target->name), LrLog_Int("sign", source));
     }
     target->leaving_sources |= source;
-    target->leaving_until = now + LEAVING_MARK_TIME;
+    target->leaving_until = MAX(target->leaving_until, until);
 }
 
 void
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -302,6 +302,25 @@
     {
         return state_number(i, "catalogue", "revision");
     }
+    // Whether daemon i believes that a target is leaving.
+    bool
+    is_leaving(int i, const std::string &target)
+    {
+        HttpAnswer answer = http(operators(i, "/state"), nullptr, {}, 2000);
+        json_t *json =
+            json_loadb(answer.body.data(), answer.body.size(), 0, nullptr);
+        bool leaving = false;
+        size_t n;
+        json_t *row;
+        json_array_foreach(json_object_get(json, "targets"), n, row)
+        {
+            if (target == json_string_value(json_object_get(row, "name"))) {
+                leaving = json_is_true(json_object_get(row, "leaving"));
+            }
+        }
+        json_decref(json);
+        return leaving;
+    }
     // Publishes a new revision of the catalogue, with another deadline.
     void
     edit(int revision, int deadline_ms)
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -230,3 +230,17 @@
     EXPECT_EQ(answer.outcome(), "not_run");
     EXPECT_EQ(answer.text("reason"), "quarantined");
 }
+
+TEST(Fleet, ATargetThatSaysItIsLeavingGetsNothingFromDaemonsThatDidNotAskIt)
+{
+    Fleet fleet(28800, 3);
+    fleet.fault("t00", "drain=1");
+    ASSERT_TRUE(eventually([&] {
+        fleet.query(1);
+        return fleet.is_leaving(1, "t00");
+    }));
+    for (int i = 2; i <= 3; i++) {
+        EXPECT_TRUE(eventually([&] { return fleet.is_leaving(i, "t00"); }))
+            << i;
+    }
+}
