soak: searchers name rate limits

Change: two searchers of a service name a limit for some seconds, first of all faults and again later; what they get is checked against the rule from 4 s after the first request on; planted violation "limit".

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,9 @@
 # Time for the system to load a program.
 LOADING_S = 0.1
 BUDGET_RATIO, BUDGET_EXTRA, BUDGET_WINDOW_S = 0.2, 60, 10.0
+# A limited searcher gets at most this in a window, from some seconds after it
+# first named its limit.
+LIMIT_RATIO, LIMIT_EXTRA, LIMIT_WINDOW_S, LIMIT_KNOWN_S = 1.5, 5, 4.0, 4.0
 
 
 class Proxy:
@@ -105,6 +108,9 @@
         self.counts = collections.Counter()
         self.searchers = {}
         self.left = {}
+        # Rate limits that searchers named: name, start, end, requests/s.
+        self.limits = []
+        self.limited = set()
         self.configs = []
         self.disturbed_until = {}
         self.next_id = 0
@@ -294,6 +300,22 @@
             if request.get("status") in (429, 503, 408, 421) and by_id[name]:
                 self.violate("refused", "%s had run" % name)
         self.check_budget(runs)
+        for limit in self.limits:
+            self.check_limit(runs, *limit)
+
+    def check_limit(self, runs, name, start, end, per_s):
+        at = sorted(run["at_ms"] / 1000 for run in runs
+                    if run["server"] == name and
+                    start <= run["at_ms"] / 1000 < end)
+        allowed = LIMIT_RATIO * per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+        for first in at:
+            if first < at[0] + LIMIT_KNOWN_S:
+                continue
+            count = sum(first <= t < first + LIMIT_WINDOW_S for t in at)
+            if count > allowed:
+                self.violate("limit", "%s takes %d/s and got %d in %.0f s" % (
+                    name, per_s, count, LIMIT_WINDOW_S))
+                return
 
     def check_budget(self, runs):
         first = {}
@@ -436,8 +458,11 @@
 
     async def fault_hangup(self):
         for i in range(1, self.options.daemons + 1):
-            if self.processes["d%d" % i].poll() is None:
-                self.processes["d%d" % i].send_signal(signal.SIGHUP)
+            name = "d%d" % i
+            # A process that has not reached its own code yet ends by SIGHUP.
+            loading = time.monotonic() - self.spawned[name] < LOADING_S
+            if self.processes[name].poll() is None and not loading:
+                self.processes[name].send_signal(signal.SIGHUP)
 
     async def fault_link(self):
         proxy = self.random.choice(list(self.proxies.values()))
@@ -469,6 +494,25 @@
         await asyncio.sleep(self.random.uniform(1, 3))
         await self.control("fault?id=%s&name=%s&value=0" % (name, fault))
 
+    async def fault_limit(self):
+        """Searchers of one service name a rate limit for some seconds."""
+        service = self.random.choice((*SHARDS, SINGLE))
+        names = [name for name, of in self.searchers.items()
+                 if of == service and name not in self.left and
+                 name not in self.limited]
+        names = self.random.sample(names, min(len(names), 2))
+        per_s = self.random.randrange(3, 20)
+        self.limited.update(names)
+        start = time.monotonic()
+        for name in names:
+            await self.control("fault?id=%s&name=limit&value=%d" % (
+                name, per_s))
+        await asyncio.sleep(self.random.uniform(5, 9))
+        for name in names:
+            self.limits.append((name, start, time.monotonic(), per_s))
+            await self.control("fault?id=%s&name=limit&value=0" % name)
+        self.limited.difference_update(names)
+
     async def fault_release(self):
         """A searcher is replaced: the new one starts, the old one drains."""
         name = self.random.choice(list(self.searchers))
@@ -516,10 +560,13 @@
         kinds = [self.fault_kill, self.fault_stop, self.fault_pause,
                  self.fault_hangup, self.fault_link, self.fault_store,
                  self.fault_searcher, self.fault_searcher, self.fault_release,
-                 self.fault_config]
+                 self.fault_config, self.fault_limit]
         tasks = set()
+        # A limit is checked only after some seconds, so that it comes first.
+        kind = self.fault_limit
         while not self.stopping:
-            task = asyncio.create_task(self.random.choice(kinds)())
+            task = asyncio.create_task(kind())
+            kind = self.random.choice(kinds)
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             task.add_done_callback(self.note_failure)
@@ -585,6 +632,11 @@
             self.left[ran[0]["server"]] = 1.0
         elif kind == "budget":
             runs += [ran[0]] * 2000
+        elif kind == "limit":
+            at = ran[0]["at_ms"] / 1000
+            self.limits.append((ran[0]["server"], at - 6, at + 1, 2))
+            runs += [dict(ran[0], at_ms=ran[0]["at_ms"] - 5000)]
+            runs += [ran[0]] * 18
         elif kind == "mixed":
             self.check_answer(wide, 200, {
                 "x-part-seals": "seal-other-a0-0, seal-other-b0-0",
@@ -626,7 +678,7 @@
     parser.add_argument("--port", type=int, default=29000)
     parser.add_argument("--plant", choices=[
         "refused", "twice", "unasked", "drain", "budget", "mixed",
-        "coverage"], help="forge one violation, to see it noticed")
+        "coverage", "limit"], help="forge one violation, to see it noticed")
     options = parser.parse_args()
     # Every third seed has one zone of nine, in which three gather for all.
     large = options.seed % 3 == 0
