targets, tests: rate limits: shares follow the view; overload and native policy

Cause: the number of senders of a limited target was taken when its limit or the fleet changed, not when a new view changed the subset that sends to it. Change: each interval sets it anew, for limited targets only. Tests: the native selection policy keeps limits too; three replicas limited to a third of the demand are used to 85 in 100 of their limits at least (DESIGN's bound for entitlements).

--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -766,26 +766,16 @@
     return n;
 }
 
-static void
-update_senders(void *data, LrTarget *target)
-{
-    if (target->rate.limited) {
-        LrRateLimit_SetSenders(&target->rate, count_senders(target),
-                               *(LrTime *)data);
-    }
-}
-
 void
 LrTargets_SetSenders(LrTargets *targets, double n_scatter, double n_single,
                      LrTime now)
 {
-    if (n_scatter == targets->n_scatter_senders &&
-        n_single == targets->n_single_senders) {
-        return;
-    }
     targets->n_scatter_senders = n_scatter;
     targets->n_single_senders = n_single;
-    LrTargets_Each(targets, update_senders, &now);
+    for (guint i = 0; i < targets->limited->len; i++) {
+        LrTarget *target = targets->limited->pdata[i];
+        LrRateLimit_SetSenders(&target->rate, count_senders(target), now);
+    }
 }
 
 void
--- a/tests/test_rate_limit.cc
+++ b/tests/test_rate_limit.cc
@@ -304,6 +304,41 @@
     EXPECT_EQ(harness.sends.size(), 3U) << "two requests a second are allowed";
 }
 
+TEST(RateLimit, TheSelectionPolicyOfTheNativeInterfaceKeepsLimitsToo)
+{
+    EngineHarness harness(1, 2);
+    harness.rate_report = {LR_RATE_REPORT_LIMITED, 2};
+    size_t n_sent = 0;
+    for (int i = 0; i < 100; i++) {
+        harness.submit("ask", false, ("q" + std::to_string(i)).c_str());
+        n_sent += harness.sends.size();
+        while (!harness.sends.empty()) {
+            harness.reply(harness.take(), LR_REPLY_OK);
+        }
+        harness.advance(50 * MS);
+    }
+    EXPECT_LE(n_sent, 2U + 2 * 2 * 6) << "two targets, 5 s and the first ones";
+    EXPECT_GE(n_sent, 2U * 2 * 4);
+    EXPECT_EQ(harness.answers.back().missing.at("g0"), LR_REASON_TARGET_LIMIT);
+}
+
+// Demand that a limit cannot meet is served up to the limit, not less.
+TEST(RateLimit, OverloadUsesTheLimitsOfAllReplicas)
+{
+    LimitedFleet fleet(UNEVEN, 3);
+    for (size_t i = 0; i < 3; i++) {
+        fleet.targets[i].limit = 20;
+    }
+    fleet.run(24 * LR_SECOND);
+    expect_rule_kept(fleet);
+    size_t n_served = 0;
+    for (size_t i = 0; i < 3; i++) {
+        n_served += fleet.arrivals(i, RULE_FROM, 20 * LR_SECOND);
+    }
+    EXPECT_GE((double)n_served, 0.85 * 3 * 20 * 10)
+        << "the entitlement is used to 85 in 100 at least";
+}
+
 TEST(RateLimit, AReplyToAnOlderRequestDoesNotEndTheLimit)
 {
     RoutedHarness harness(1, 1);
