rate_limit, targets: names and comments after a reading

Cause: has_rate, rate and tokens_at did not tell what they stand for. Change: LrTargets_RateAllows, rates_allow, rate_limit, rate_report, settled_at; the comment on why tokens expire. No behaviour.

--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -75,18 +75,18 @@
 /* Whether the rate limits of targets leave room for one more request to as
  * many shards as the entry requires. */
 static bool
-has_rate(const LrEngine *engine, const LrEntry *entry, LrTime now)
+rates_allow(const LrEngine *engine, const LrEntry *entry, LrTime now)
 {
     const LrEntrySpec *spec = entry->spec;
     const LrMap *map = entry->service->maps;
     if (!spec->strict_coverage || !LrTargets_AnyLimited(engine->targets)) {
         return true;
     }
-    size_t n_with_rate = 0;
+    size_t n_allowed = 0;
     for (size_t i = 0; i < map->n_groups; i++) {
-        n_with_rate += LrTargets_HasRate(&map->groups[i], now);
+        n_allowed += LrTargets_RateAllows(&map->groups[i], now);
     }
-    return n_with_rate >= LrGather_RequiredShards(spec, map->n_groups);
+    return n_allowed >= LrGather_RequiredShards(spec, map->n_groups);
 }
 
 LrReason
@@ -109,7 +109,7 @@
     if (!LrAdmission_HasCoverage(query->entry, now)) {
         return LR_REASON_NO_REPLICA;
     }
-    if (!has_rate(engine, query->entry, now)) {
+    if (!rates_allow(engine, query->entry, now)) {
         return LR_REASON_TARGET_LIMIT;
     }
     if (!take_entry_limits(engine, query->entry, now)) {
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -60,7 +60,7 @@
         LrRetryBudget_AddFirstAttempt(&part->group->state->budget,
                                       &engine->config.budget, now);
     }
-    LrRateLimit_CountSend(&target->rate, now);
+    LrRateLimit_CountSend(&target->rate_limit, now);
     part->n_sent++;
     part->n_may_have_run++;
     part->state = LR_QUERY_PART_SENT;
@@ -187,7 +187,7 @@
         return LR_REASON_NO_REPLICA;
     }
     bool rate_limited = LrTargets_HasUsableReplica(part->group, now) &&
-                        !LrTargets_HasRate(part->group, now);
+                        !LrTargets_RateAllows(part->group, now);
     return rate_limited ? LR_REASON_TARGET_LIMIT : LR_REASON_TARGET_FAILED;
 }
 
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -42,7 +42,7 @@
             str_json(target->address), "zone", str_json(target->zone),
             "in_flight", (int)target->in_flight, "idle_links",
             (int)target->idle_connections, "limit", target->limit.value,
-            "rate", dump_rate(&target->rate, now), "fault_share",
+            "rate", dump_rate(&target->rate_limit, now), "fault_share",
             LrTargets_FailureRatio(target, now), "slowness", target->slowness,
             "leaving", LrTargets_IsLeaving(target, now), "ejected",
             target->ejected_until > now, "zone_lost",
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -202,7 +202,7 @@
  * moves connections to other replicas. */
 #define REBUILD_CHANGE_SHARE 0.25
 
-/* A daemon that started more recently may not know the whole fleet. */
+/* A daemon that has started within this time may not know the whole fleet. */
 #define FLEET_DISCOVERY_TIME (5 * LR_SECOND)
 
 /* Passes on the number of daemons that the rate limits of targets are divided
@@ -296,15 +296,15 @@
 
 /* Applies what the target states of itself in any reply. */
 static void
-apply_statements(LrEngine *engine, const LrAttempt *attempt,
-                 const LrReply *reply, LrTime now)
+apply_target_statements(LrEngine *engine, const LrAttempt *attempt,
+                        const LrReply *reply, LrTime now)
 {
     LrTarget *target = attempt->target;
     if (reply->draining) {
         LrTargets_MarkLeaving(engine->targets, target, LR_LEAVING_BY_REPLY,
                               now);
     }
-    LrTargets_OnRateReport(engine->targets, target, &reply->rate,
+    LrTargets_OnRateReport(engine->targets, target, &reply->rate_report,
                            attempt->sent_at, now);
 }
 
@@ -316,7 +316,7 @@
     LrQuery *query = attempt->part->query;
     LrTime latency = now - attempt->sent_at;
     LrTime median_latency = LrDispatch_MedianLatency(query);
-    apply_statements(engine, attempt, reply, now);
+    apply_target_statements(engine, attempt, reply, now);
     LrTargets_SetVersions(engine->targets, target, reply->oldest_version,
                           reply->newest_version);
     LrQuery_ConfirmCrashes(engine, target, reply->status, now);
@@ -365,7 +365,7 @@
 {
     LrTarget *target = attempt->target;
     LrTime latency = now - attempt->sent_at;
-    apply_statements(engine, attempt, reply, now);
+    apply_target_statements(engine, attempt, reply, now);
     if (reply->status == LR_REPLY_OK) {
         LrTargets_OnSuccess(engine->targets, target, latency, now,
                             &reply->load, attempt->median_latency);
--- a/liblavenderrail/expected_finish.c
+++ b/liblavenderrail/expected_finish.c
@@ -61,8 +61,8 @@
     }
     delay += LrTargets_FailureRatio(target, now) * FAILURE_MEDIANS *
              (double)typical;
-    delay += LrRateLimit_SpentRatio(&target->rate, now) * LAST_TOKEN_MEDIANS *
-             (double)typical;
+    delay += LrRateLimit_SpentRatio(&target->rate_limit, now) *
+             LAST_TOKEN_MEDIANS * (double)typical;
     if (!target->local) {
         delay += CROSS_ZONE_MEDIANS * (double)typical;
     }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -465,9 +465,9 @@
     LrTime reported_at;
     /* Number of daemons that the limit is divided by. */
     double n_senders;
-    /* Requests that this daemon may send at tokens_at. */
+    /* Requests that this daemon might send at settled_at. */
     double tokens;
-    LrTime tokens_at;
+    LrTime settled_at;
     /* Requests that this daemon sent, each weighted by its age. */
     double recent_sends;
     LrTime recent_sends_at;
@@ -555,7 +555,7 @@
     uint32_t n_suspects;
     struct LrAttemptList attempts;
     LrConcurrencyLimit limit;
-    LrRateLimit rate;
+    LrRateLimit rate_limit;
     /* Smoothed latency as a multiple of the typical latency of the requested
      * entries, since entries with short and with long work share the target. 0
      * while unknown. */
@@ -678,7 +678,7 @@
 bool LrTargets_AnyLimited(const LrTargets *targets);
 /* Whether a usable replica of the group has no rate limit, or this daemon's
  * share of it leaves room for a request now. */
-bool LrTargets_HasRate(const LrGroup *group, LrTime now);
+bool LrTargets_RateAllows(const LrGroup *group, LrTime now);
 /* Sets the number of daemons that rate limits are divided by: for targets of a
  * scatter-gather, and for those of single requests. */
 void LrTargets_SetSenders(LrTargets *targets, double n_scatter,
@@ -1189,7 +1189,7 @@
     int64_t newest_version;
     bool draining;
     LrLoadReport load;
-    LrRateReport rate;
+    LrRateReport rate_report;
     /* Opaque to the engine; kept with the body. */
     GBytes *head;
     GBytes *body;
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -133,7 +133,8 @@
     uint32_t connections_per_daemon;
     /* Number of daemons that fleet-wide limits are divided by; 0 for all. */
     double limit_divisor;
-    /* Daemons that gather, as the rate limits of targets are divided. */
+    /* Its count is the number of daemons that the rate limits of targets of a
+     * scatter-gather are divided by. */
     LrQuota scatter_senders;
     /* Value of limit_divisor that the view was built with. */
     double view_limit_divisor;
--- a/liblavenderrail/rate_limit.c
+++ b/liblavenderrail/rate_limit.c
@@ -1,11 +1,12 @@
 /* Rate limit of one target, which holds for all daemons together: each daemon
  * keeps a share of it.
  *
- * A share is spent like tokens of a bucket. Unspent tokens expire after
- * BURST_TIME, whole ones only, so that the daemons together send at most what
- * the limit allows in the time observed and BURST_TIME before it. A bucket
- * that holds at least one token would not do: hundreds of daemons with a
- * fraction of a request per second each would save hundreds of requests. */
+ * A share is spent in tokens, which expire after BURST_TIME if they are not
+ * spent. So the daemons together send in any span of time what the limit
+ * allows in that span and in BURST_TIME before it. A bucket that keeps at
+ * least one token would let hundreds of daemons, each with a share of a
+ * fraction of a request per second, save hundreds of requests. The fraction of
+ * a token that is left does not expire. */
 #include "lavenderrail.h"
 
 #include <math.h>
@@ -41,12 +42,12 @@
     return MAX(MIN_FLEET_RATE, limit->per_second) / MAX(1, limit->n_senders);
 }
 
-/* Tokens at a time, without those that have expired. */
+/* Without the tokens that have expired. */
 static double
-tokens_at(const LrRateLimit *limit, LrTime now)
+current_tokens(const LrRateLimit *limit, LrTime now)
 {
     double share = LrRateLimit_Share(limit);
-    double age = (double)MAX(0, now - limit->tokens_at) / (double)LR_SECOND;
+    double age = (double)MAX(0, now - limit->settled_at) / (double)LR_SECOND;
     double kept = share * (double)BURST_TIME / (double)LR_SECOND;
     double tokens = limit->tokens + share * age;
     return tokens - MAX(0, floor(tokens - kept));
@@ -55,8 +56,8 @@
 static void
 settle_tokens(LrRateLimit *limit, LrTime now)
 {
-    limit->tokens = tokens_at(limit, now);
-    limit->tokens_at = now;
+    limit->tokens = current_tokens(limit, now);
+    limit->settled_at = now;
 }
 
 bool
@@ -96,13 +97,13 @@
 LrRateLimit_ResetTokens(LrRateLimit *limit, double fraction, LrTime now)
 {
     limit->tokens = fraction;
-    limit->tokens_at = now;
+    limit->settled_at = now;
 }
 
 bool
 LrRateLimit_HasToken(const LrRateLimit *limit, LrTime now)
 {
-    return !limit->limited || tokens_at(limit, now) >= 1;
+    return !limit->limited || current_tokens(limit, now) >= 1;
 }
 
 double
@@ -112,7 +113,7 @@
         return 0;
     }
     double most = MAX(1, LrRateLimit_Share(limit) * BURST_TIME / LR_SECOND);
-    return CLAMP(1 - tokens_at(limit, now) / most, 0, 1);
+    return CLAMP(1 - current_tokens(limit, now) / most, 0, 1);
 }
 
 static double
--- a/liblavenderrail/target_protocol.c
+++ b/liblavenderrail/target_protocol.c
@@ -122,7 +122,7 @@
     bool not_run =
         LrStr_EqualC(LrTransfer_Header(transfer, "Lr-Not-Run"), "1");
     if (rate_limit.len > 0 || result->status == STATUS_OK) {
-        reply->rate = LrRateReport_Parse(rate_limit);
+        reply->rate_report = LrRateReport_Parse(rate_limit);
     }
     if (result->status == STATUS_GONE) {
         return not_run ? LR_REPLY_VERSION_GONE : LR_REPLY_REJECTED;
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -290,7 +290,7 @@
     size_t n;
     double free_slots;
     bool any_eligible;
-    /* A replica was left out since the share of its rate limit is spent. */
+    /* A replica was left out because this daemon has no token for it. */
     bool any_rate_limited;
 } Candidates;
 
@@ -312,7 +312,7 @@
         if (adaptive && !include_ejected && is_ejected(target, now)) {
             continue;
         }
-        if (!LrRateLimit_HasToken(&target->rate, now)) {
+        if (!LrRateLimit_HasToken(&target->rate_limit, now)) {
             out->any_rate_limited = true;
             continue;
         }
@@ -346,12 +346,12 @@
 }
 
 bool
-LrTargets_HasRate(const LrGroup *group, LrTime now)
+LrTargets_RateAllows(const LrGroup *group, LrTime now)
 {
     for (size_t i = 0; i < group->n_replicas; i++) {
         const LrTarget *target = group->replicas[i];
         if (!LrTargets_IsLeaving(target, now) && !is_ejected(target, now) &&
-            LrRateLimit_HasToken(&target->rate, now)) {
+            LrRateLimit_HasToken(&target->rate_limit, now)) {
             return true;
         }
     }
@@ -665,7 +665,7 @@
 log_rate_limit(const LrTargets *targets, const LrTarget *target,
                const char *source, LrTime now)
 {
-    const LrRateLimit *limit = &target->rate;
+    const LrRateLimit *limit = &target->rate_limit;
     g_autofree char *per_second =
         limit->limited ? g_strdup_printf("%.2f", limit->per_second)
                        : g_strdup("none");
@@ -683,7 +683,7 @@
                   const LrRateReport *report, LrTime sent_at,
                   LrTime reported_at, LrTime now, const char *source)
 {
-    LrRateLimit *limit = &target->rate;
+    LrRateLimit *limit = &target->rate_limit;
     bool was_limited = limit->limited;
     bool notable = LrRateLimit_Apply(limit, report, sent_at, reported_at, now);
     if (limit->limited && !was_limited) {
@@ -718,7 +718,7 @@
 {
     LrTarget *target = LrTargets_Lookup(targets, row->target);
     LrTime reported_at = now - row->age_ms * LR_MILLISECOND;
-    if (!target || reported_at <= target->rate.reported_at) {
+    if (!target || reported_at <= target->rate_limit.reported_at) {
         return;
     }
     LrRateReport report = {
@@ -735,8 +735,8 @@
 {
     for (guint i = targets->limited->len; i > 0; i--) {
         const LrTarget *target = targets->limited->pdata[i - 1];
-        if (!target->rate.limited &&
-            now - target->rate.reported_at > RATE_REPORT_TTL) {
+        if (!target->rate_limit.limited &&
+            now - target->rate_limit.reported_at > RATE_REPORT_TTL) {
             g_ptr_array_remove_index_fast(targets->limited, i - 1);
         }
     }
@@ -752,14 +752,14 @@
     for (guint i = 0; i < n_targets && n < max; i++) {
         const LrTarget *target =
             targets->limited->pdata[targets->next_limited++ % n_targets];
-        LrTime age = now - target->rate.reported_at;
+        LrTime age = now - target->rate_limit.reported_at;
         if (age > RATE_REPORT_TTL) {
             continue;
         }
         out[n++] = (LrTargetLimitMsg){
             .target = target->key,
-            .limited = target->rate.limited,
-            .per_s = target->rate.per_second,
+            .limited = target->rate_limit.limited,
+            .per_s = target->rate_limit.per_second,
             .age_ms = age / LR_MILLISECOND,
         };
     }
@@ -774,7 +774,8 @@
     targets->n_single_senders = n_single;
     for (guint i = 0; i < targets->limited->len; i++) {
         LrTarget *target = targets->limited->pdata[i];
-        LrRateLimit_SetSenders(&target->rate, count_senders(target), now);
+        LrRateLimit_SetSenders(&target->rate_limit, count_senders(target),
+                               now);
     }
 }
 
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -118,7 +118,7 @@
         std::string body = send.shard + "@" + std::to_string(send.attempt);
         got.status = status;
         got.version = version < 0 ? send.version : version;
-        got.rate = rate_report;
+        got.rate_report = rate_report;
         got.body = g_bytes_new(body.data(), body.size());
         LrEngine_Advance(engine, now);
         collect();
--- a/tests/test_rate_limit.cc
+++ b/tests/test_rate_limit.cc
@@ -260,7 +260,7 @@
         return n;
     };
     EXPECT_EQ(pass_on(teller, listener), 1U);
-    const LrRateLimit &heard = listener.target("127.0.0.0:1")->rate;
+    const LrRateLimit &heard = listener.target("127.0.0.0:1")->rate_limit;
     EXPECT_TRUE(heard.limited);
     EXPECT_EQ(heard.per_second, 10);
     EXPECT_FALSE(LrRateLimit_HasToken(&heard, listener.now))
@@ -277,7 +277,7 @@
     EXPECT_EQ(pass_on(teller, listener), 1U);
     EXPECT_FALSE(heard.limited);
     EXPECT_EQ(pass_on(listener, teller), 1U);
-    EXPECT_FALSE(teller.target("127.0.0.0:1")->rate.limited);
+    EXPECT_FALSE(teller.target("127.0.0.0:1")->rate_limit.limited);
 
     listener.advance(20 * LR_SECOND);
     EXPECT_EQ(pass_on(listener, teller), 0U) << "old news are not repeated";
@@ -351,7 +351,7 @@
     harness.rate_report = {LR_RATE_REPORT_UNLIMITED, 0};
     harness.now += 5 * MS;
     harness.reply(early, LR_REPLY_OK);
-    EXPECT_TRUE(harness.target("127.0.0.0:1")->rate.limited);
+    EXPECT_TRUE(harness.target("127.0.0.0:1")->rate_limit.limited);
 }
 
 TEST(RateLimit, ATargetThatAcceptsNothingIsAskedWhetherItStillDoes)
