tests: relay: relayed parts keep the rate limits of targets

Cause: only parts that a daemon sends itself were played with a limit; the stand-in's control call also dropped the fault "limit" (its list of names). Change: a daemon without connections of its own asks one shard whose three replicas take one request a second each, through the other two daemons. Three failures on the way came from a stand-in of an earlier run that a closed pipe had left behind on the test's port (traced by its process id).

--- a/cli/standin_platform.c
+++ b/cli/standin_platform.c
@@ -279,8 +279,9 @@
 set_faults(Target *target, LrExchange *exchange)
 {
     static const char *const names[] = {
-        "slow", "slow_share", "shed",   "drain",  "garbage",  "half",
-        "dead", "lie_queued", "oldest", "newest", "crash_on", "wrong_attempt",
+        "slow",     "slow_share",    "shed",       "drain",  "garbage",
+        "half",     "dead",          "lie_queued", "oldest", "newest",
+        "crash_on", "wrong_attempt", "limit",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         LrStr value = LrExchange_Argument(exchange, names[i]);
--- a/tests/test_relay.cc
+++ b/tests/test_relay.cc
@@ -90,3 +90,22 @@
     EXPECT_EQ(fleet->order(relayer, key).outcome(), "complete");
     EXPECT_EQ(fleet->runs(key), 1);
 }
+
+TEST_F(RelayTest, RelayedPartsKeepTheLimitsOfTargets)
+{
+    ASSERT_NO_FATAL_FAILURE(make(27500));
+    // The three replicas of one shard accept one request a second each.
+    for (const char *target : {"t00", "t01", "t02"}) {
+        fleet->fault(target, "limit=1");
+    }
+    ASSERT_TRUE(eventually(
+        [&] { return fleet->query(relayer).outcome() == "partial"; }));
+    auto start = std::chrono::steady_clock::now();
+    int n_complete = 0;
+    for (int i = 0; i < 100; i++) {
+        n_complete += fleet->query(relayer).outcome() == "complete";
+    }
+    std::chrono::duration<double> seconds =
+        std::chrono::steady_clock::now() - start;
+    EXPECT_LE(n_complete, 3 * (1.5 * seconds.count() + 5));
+}
