targets: a misdirected target gets nothing when all others are ejected

Cause: attempt_failed status=misdirected 344 times in seconds 4 to 7, all for one target whose address another service had got while the store was down. The mark shared its field with ejection, and panic routing ignores ejections: when the other two replicas crashed, all hosts sent to the address again. Each such request arrives beside the part that is meant for the service there. Change: a mark of its own that panic routing keeps; a wake-up after a pause or a success does not clear it.

--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -45,8 +45,9 @@
             "rate", dump_rate(&target->rate_limit, now), "fault_share",
             LrTargets_FailureRatio(target, now), "slowness", target->slowness,
             "leaving", LrTargets_IsLeaving(target, now), "ejected",
-            target->ejected_until > now, "zone_lost",
-            target->zone_state->unreachable, "failures",
+            target->ejected_until > now ||
+                LrTargets_IsMisdirected(target, now),
+            "zone_lost", target->zone_state->unreachable, "failures",
             (int)target->consecutive_failures));
 }
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -582,6 +582,8 @@
     unsigned n_broken_requests;
     uint32_t ejections;
     LrTime ejected_until;
+    /* Until then another target is believed to be at the address. */
+    LrTime misdirected_until;
     unsigned leaving_sources;
     LrTime leaving_until;
     LrTime slow_start_until;
@@ -702,12 +704,13 @@
 void LrTargets_ClearLeaving(LrTargets *targets, LrTarget *target,
                             LrLeavingSource source);
 bool LrTargets_IsLeaving(const LrTarget *target, LrTime now);
+bool LrTargets_IsMisdirected(const LrTarget *target, LrTime now);
 /* The target replied that it does not serve a version; it gets no requests for
  * that version for a while. */
 void LrTargets_MarkVersionMissing(LrTargets *targets, LrTarget *target,
                                   int64_t version, LrTime now);
 /* Another target has taken over the address: nothing is sent there for a
- * while. */
+ * while, also when all other replicas are ejected. */
 void LrTargets_MarkMisdirected(LrTargets *targets, LrTarget *target,
                                LrTime now);
 /* A reply to a request that was sent at sent_at reported a rate limit, or
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -38,6 +38,8 @@
 #define VERSION_MISSING_TTL LR_SECOND
 #define BASE_EJECTION_TIME (500 * LR_MILLISECOND)
 #define MAX_EJECTION_TIME (20 * LR_SECOND)
+/* An address that another target has taken over is not tried for this long. */
+#define MISDIRECTED_TIME (20 * LR_SECOND)
 #define SLOW_START_TIME (2 * LR_SECOND)
 #define SLOW_START_LIMIT_RATIO 0.5
 
@@ -182,6 +184,12 @@
     return target->leaving_sources != 0 && target->leaving_until > now;
 }
 
+bool
+LrTargets_IsMisdirected(const LrTarget *target, LrTime now)
+{
+    return target->misdirected_until > now;
+}
+
 bool
 LrTargets_ServesVersion(const LrTarget *target, int64_t version, LrTime now)
 {
@@ -278,11 +286,14 @@
     return LrConcurrencyLimit_HasCapacity(&target->limit, target->in_flight);
 }
 
-/* Ejected for its own failures, or because its whole zone is unreachable. */
+/* Ejected for its own failures, because another target has taken over its
+ * address, or because its whole zone is unreachable. */
 static bool
 is_ejected(const LrTarget *target, LrTime now)
 {
-    return target->ejected_until > now || target->zone_state->unreachable;
+    return target->ejected_until > now ||
+           LrTargets_IsMisdirected(target, now) ||
+           target->zone_state->unreachable;
 }
 
 typedef struct {
@@ -305,6 +316,7 @@
     for (size_t i = 0; i < group->n_replicas && i < MAX_CANDIDATES; i++) {
         LrTarget *target = group->replicas[i];
         if (LrTargets_IsLeaving(target, now) ||
+            LrTargets_IsMisdirected(target, now) ||
             !LrTargets_ServesVersion(target, version, now) ||
             was_tried(target, tried, n_tried)) {
             continue;
@@ -642,7 +654,7 @@
     LR_LOG(targets->config.log, LOG_NOTICE, "target_misdirected",
            LrLog_Str("target", target->name),
            LrLog_Str("address", target->address));
-    target->ejected_until = now + MAX_EJECTION_TIME;
+    target->misdirected_until = now + MISDIRECTED_TIME;
 }
 
 /* Number of daemons that a target's rate limit is divided by. */
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -406,7 +406,9 @@
     unsigned n_serving = 0;
     for (size_t i = 0; i < group->n_replicas; i++) {
         const LrTarget *target = group->replicas[i];
-        if (LrTargets_IsLeaving(target, now) || target->ejected_until > now) {
+        if (LrTargets_IsLeaving(target, now) ||
+            LrTargets_IsMisdirected(target, now) ||
+            target->ejected_until > now) {
             continue;
         }
         n_usable++;
--- a/tests/test_routed_engine.cc
+++ b/tests/test_routed_engine.cc
@@ -169,3 +169,24 @@
     harness.submit("most");
     EXPECT_EQ(harness.sends.size(), 7u);
 }
+
+TEST(RoutedEngine, AMisdirectedTargetGetsNothingWhileAllOthersAreEjected)
+{
+    RoutedHarness harness(1, 2);
+    LrTargets *targets = LrEngine_Targets(harness.engine);
+    LrTargets_MarkMisdirected(targets, harness.target("127.0.0.0:1"),
+                              harness.now);
+    for (int i = 0; i < 2; i++) {
+        LrTargets_OnFailure(targets, harness.target("127.0.0.1:1"),
+                            harness.now);
+    }
+    for (int i = 0; i < 20; i++) {
+        harness.submit("ask", false, ("q" + std::to_string(i)).c_str());
+        while (!harness.sends.empty()) {
+            Send send = harness.take();
+            EXPECT_EQ(send.address, "127.0.0.1:1");
+            harness.reply(send, LR_REPLY_CONNECT_FAILED);
+        }
+    }
+    EXPECT_GT(harness.count(LR_COUNT_PANICS), 0u);
+}
