limited_targets: ended limits are forgotten, and a module of their own

Operators would have seen probes that go on repeating ends of limits, in turn with limits in force, and each query checking all its shards for limits, for as long as the target is asked: until the next restart. Cause: whether an end is recent was judged by the last reply, which renews it.

--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -5,6 +5,7 @@
  * Each queue is ordered by soft deadline, and urgent queries go first. A query
  * that can no longer meet its soft deadline is dropped before any of its parts
  * is sent. */
+#include "limited_targets.h"
 #include "private.h"
 
 #include <math.h>
@@ -79,7 +80,8 @@
 {
     const LrEntrySpec *spec = entry->spec;
     const LrMap *map = entry->service->maps;
-    if (!spec->strict_coverage || !LrTargets_AnyLimited(engine->targets)) {
+    if (!spec->strict_coverage ||
+        LrLimitedTargets_IsEmpty(LrTargets_Limited(engine->targets))) {
         return true;
     }
     size_t n_allowed = 0;
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -1,5 +1,6 @@
 /* Query engine of one daemon: takes requests, replies and timers as events and
  * emits actions for the I/O layer. */
+#include "limited_targets.h"
 #include "private.h"
 
 #include <math.h>
@@ -222,7 +223,8 @@
                        (unsigned)ceil(engine->limit_divisor));
         n_scatter = MAX(least, (double)engine->scatter_senders.count);
     }
-    LrTargets_SetSenders(engine->targets, n_scatter, n_single, now);
+    LrLimitedTargets_SetSenders(LrTargets_Limited(engine->targets), n_scatter,
+                                n_single, now);
 }
 
 void
@@ -304,8 +306,8 @@
         LrTargets_MarkLeaving(engine->targets, target, LR_LEAVING_BY_REPLY,
                               now);
     }
-    LrTargets_OnRateReport(engine->targets, target, &reply->rate_report,
-                           attempt->sent_at, now);
+    LrLimitedTargets_OnReport(LrTargets_Limited(engine->targets), target,
+                              &reply->rate_report, attempt->sent_at, now);
 }
 
 static void
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -9,6 +9,7 @@
 
 #include "aggregators.h"
 #include "forward.h"
+#include "limited_targets.h"
 #include "zone_detector.h"
 #include "readers.h"
 
@@ -123,9 +124,9 @@
     probe.n_leaving = collect_leaving(daemon, quarantined.now, leaving);
     LrTargetLimitMsg limits[MAX_LIMITS_PER_PROBE];
     probe.limits = limits;
-    probe.n_limits = LrTargets_NextRateReports(
-        LrEngine_Targets(daemon->engine), quarantined.now, limits,
-        MAX_LIMITS_PER_PROBE);
+    probe.n_limits = LrLimitedTargets_NextBatch(
+        LrTargets_Limited(LrEngine_Targets(daemon->engine)), quarantined.now,
+        limits, MAX_LIMITS_PER_PROBE);
     LrPeers_Send(daemon->peers, address, &LrProbeMsg_Descriptor, &probe);
 }
 
@@ -172,7 +173,12 @@
 {
     LrTargets *targets = LrEngine_Targets(daemon->engine);
     for (size_t i = 0; i < message->n_limits; i++) {
-        LrTargets_OnPeerRateReport(targets, &message->limits[i], now);
+        const LrTargetLimitMsg *row = &message->limits[i];
+        LrTarget *target = LrTargets_Lookup(targets, row->target);
+        if (target) {
+            LrLimitedTargets_OnPeerReport(LrTargets_Limited(targets), target,
+                                          row, now);
+        }
     }
 }
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -461,8 +461,10 @@
     bool limited;
     /* The limit; 0 is a limit too. */
     double per_second;
-    /* When the target was last heard to name the limit, or none. */
+    /* When the target was last heard to name the limit, or none, and when it
+     * first named none after a limit. */
     LrTime reported_at;
+    LrTime ended_at;
     /* Number of daemons that the limit is divided by. */
     double n_senders;
     /* Requests that this daemon might send at settled_at. */
@@ -500,6 +502,7 @@
 typedef struct LrTarget LrTarget;
 typedef struct LrGroup LrGroup;
 typedef struct LrTargets LrTargets;
+typedef struct LrLimitedTargets LrLimitedTargets;
 typedef struct LrZoneDetector LrZoneDetector;
 typedef struct LrZone LrZone;
 typedef struct LrAttempt LrAttempt;
@@ -663,6 +666,8 @@
 /* Smoothed latency of a target; the typical one while it is unknown. */
 double LrTargets_SmoothedLatency(const LrTarget *target, LrTime now,
                                  LrTime typical);
+/* Those of the targets that name a rate limit. */
+LrLimitedTargets *LrTargets_Limited(LrTargets *targets);
 /* The failure detector of the zones that the targets are in. */
 LrZoneDetector *LrTargets_ZoneDetector(LrTargets *targets);
 /* Evaluates, by the requests that targets keep waiting, which zones are
@@ -676,15 +681,9 @@
 double LrTargets_ReportedQueue(const LrTarget *target, LrTime now);
 /* Whether requests can be sent to any replica of the group now. */
 bool LrTargets_HasUsableReplica(const LrGroup *group, LrTime now);
-/* Whether any target names a rate limit, or has done so recently. */
-bool LrTargets_AnyLimited(const LrTargets *targets);
 /* Whether a usable replica of the group has no rate limit, or this daemon's
  * share of it leaves room for a request now. */
 bool LrTargets_RateAllows(const LrGroup *group, LrTime now);
-/* Sets the number of daemons that rate limits are divided by: for targets of a
- * scatter-gather, and for those of single requests. */
-void LrTargets_SetSenders(LrTargets *targets, double n_scatter,
-                          double n_single, LrTime now);
 /* Whether every replica of a group is ejected: a retry would be useless. */
 bool LrTargets_AllEjected(const LrGroup *group, LrTime now);
 /* The target replied; typical is the median latency of what was requested, 0
@@ -713,19 +712,6 @@
  * while, also when all other replicas are ejected. */
 void LrTargets_MarkMisdirected(LrTargets *targets, LrTarget *target,
                                LrTime now);
-/* A reply to a request that was sent at sent_at reported a rate limit, or
- * none. */
-void LrTargets_OnRateReport(LrTargets *targets, LrTarget *target,
-                            const LrRateReport *report, LrTime sent_at,
-                            LrTime now);
-/* A peer passed on what a target said of its rate limit; ignored if this
- * daemon knows something newer. */
-void LrTargets_OnPeerRateReport(LrTargets *targets,
-                                const LrTargetLimitMsg *row, LrTime now);
-/* Takes up to that many rate limits in turn, to be sent to peers, and recent
- * ends of limits; the names are borrowed. Returns their number. */
-size_t LrTargets_NextRateReports(LrTargets *targets, LrTime now,
-                                 LrTargetLimitMsg *out, size_t max);
 /* Sets the range of versions that the target reports to serve. */
 void LrTargets_SetVersions(LrTargets *targets, LrTarget *target,
                            int64_t oldest, int64_t newest);
--- a/liblavenderrail/rate_limit.c
+++ b/liblavenderrail/rate_limit.c
@@ -81,6 +81,7 @@
                    fabs(report->per_second - limit->per_second) >
                        NOTABLE_CHANGE * limit->per_second;
     settle_tokens(limit, now);
+    limit->ended_at = limited ? 0 : reported_at;
     limit->limited = limited;
     limit->per_second = report->per_second;
     return notable;
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -5,6 +5,7 @@
  * weight with their age, since they may be outdated or wrong. */
 #include "lavenderrail.h"
 
+#include "limited_targets.h"
 #include "private.h"
 #include "zone_detector.h"
 
@@ -33,8 +34,6 @@
 /* Added to the estimate for a target in another zone, in typical latencies. */
 #define CROSS_ZONE_MEDIANS 0.2
 #define LEAVING_MARK_TIME (30 * LR_SECOND)
-/* Peers are told what a target said of its rate limit for this long. */
-#define RATE_REPORT_TTL (10 * LR_SECOND)
 #define VERSION_MISSING_TTL LR_SECOND
 #define BASE_EJECTION_TIME (500 * LR_MILLISECOND)
 #define MAX_EJECTION_TIME (20 * LR_SECOND)
@@ -57,14 +56,7 @@
     LrZoneDetector *zone_detector;
     uint32_t next_index;
     uint32_t next_round_robin;
-    /* Number of daemons that send to the targets of a scatter-gather, and of
-     * those that send single requests. */
-    double n_scatter_senders;
-    double n_single_senders;
-    /* Targets that name a rate limit, or have done so recently, and the one
-     * that the next batch for peers starts at. */
-    GPtrArray *limited;
-    guint next_limited;
+    LrLimitedTargets *limited;
 };
 
 static void
@@ -72,7 +64,7 @@
 {
     LrTarget *target = data;
     target->zone_state->n_targets--;
-    g_ptr_array_remove_fast(target->owner->limited, target);
+    LrLimitedTargets_Remove(target->owner->limited, target);
     g_free((char *)target->key.ptr);
     g_free((char *)target->instance.ptr);
     g_free((char *)target->name.ptr);
@@ -88,7 +80,8 @@
     LrTargets *targets = g_new0(LrTargets, 1);
     targets->config = *config;
     targets->policy = policy;
-    targets->limited = g_ptr_array_new();
+    targets->limited =
+        LrLimitedTargets_New(config->random, config->log, config->counters);
     targets->zone_detector = LrZoneDetector_New(config->zone, config->log);
     targets->by_key = g_hash_table_new_full(LrStr_TableHash, LrStr_TableEqual,
                                             NULL, free_target);
@@ -102,7 +95,7 @@
         return;
     }
     g_hash_table_unref(targets->by_key);
-    g_ptr_array_unref(targets->limited);
+    LrLimitedTargets_Free(targets->limited);
     LrZoneDetector_Free(targets->zone_detector);
     g_free(targets);
 }
@@ -351,12 +344,6 @@
     return false;
 }
 
-bool
-LrTargets_AnyLimited(const LrTargets *targets)
-{
-    return targets->limited->len > 0;
-}
-
 bool
 LrTargets_RateAllows(const LrGroup *group, LrTime now)
 {
@@ -657,140 +644,6 @@
     target->misdirected_until = now + MISDIRECTED_TIME;
 }
 
-/* Number of daemons that a target's rate limit is divided by. */
-static double
-count_senders(const LrTarget *target)
-{
-    for (guint i = 0; i < target->groups->len; i++) {
-        const LrGroup *group = target->groups->pdata[i];
-        if (group->n_senders > 0) {
-            return (double)group->n_senders;
-        }
-        if (group->map->n_groups > 1) {
-            return target->owner->n_scatter_senders;
-        }
-    }
-    return target->owner->n_single_senders;
-}
-
-static void
-log_rate_limit(const LrTargets *targets, const LrTarget *target,
-               const char *source, LrTime now)
-{
-    const LrRateLimit *limit = &target->rate_limit;
-    g_autofree char *per_second =
-        limit->limited ? g_strdup_printf("%.2f", limit->per_second)
-                       : g_strdup("none");
-    g_autofree char *share = g_strdup_printf("%.2f", LrRateLimit_Share(limit));
-    g_autofree char *sent =
-        g_strdup_printf("%.2f", LrRateLimit_SendRate(limit, now));
-    LR_LOG(targets->config.log, LOG_NOTICE, "target_limit",
-           LrLog_Str("target", target->name), LrLog_CStr("per_s", per_second),
-           LrLog_CStr("share_per_s", share), LrLog_CStr("sent_per_s", sent),
-           LrLog_CStr("source", source));
-}
-
-static void
-apply_rate_report(LrTargets *targets, LrTarget *target,
-                  const LrRateReport *report, LrTime sent_at,
-                  LrTime reported_at, LrTime now, const char *source)
-{
-    LrRateLimit *limit = &target->rate_limit;
-    bool was_limited = limit->limited;
-    bool notable = LrRateLimit_Apply(limit, report, sent_at, reported_at, now);
-    if (limit->limited && !was_limited) {
-        limit->n_senders = count_senders(target);
-        LrRateLimit_ResetTokens(limit,
-                                LrRandom_Uniform(targets->config.random), now);
-        if (!g_ptr_array_find(targets->limited, target, NULL)) {
-            g_ptr_array_add(targets->limited, target);
-        }
-    }
-    if (notable) {
-        LrCounters_Add(targets->config.counters, LR_COUNT_TARGET_LIMITS, 1);
-        log_rate_limit(targets, target, source, now);
-    }
-}
-
-void
-LrTargets_OnRateReport(LrTargets *targets, LrTarget *target,
-                       const LrRateReport *report, LrTime sent_at, LrTime now)
-{
-    if (report->kind == LR_RATE_REPORT_INVALID) {
-        LR_LOG(targets->config.log, LOG_INFO, "target_limit_invalid",
-               LrLog_Str("target", target->name));
-        return;
-    }
-    apply_rate_report(targets, target, report, sent_at, now, now, "reply");
-}
-
-void
-LrTargets_OnPeerRateReport(LrTargets *targets, const LrTargetLimitMsg *row,
-                           LrTime now)
-{
-    LrTarget *target = LrTargets_Lookup(targets, row->target);
-    LrTime reported_at = now - row->age_ms * LR_MILLISECOND;
-    if (!target || reported_at <= target->rate_limit.reported_at) {
-        return;
-    }
-    LrRateReport report = {
-        .kind =
-            row->limited ? LR_RATE_REPORT_LIMITED : LR_RATE_REPORT_UNLIMITED,
-        .per_second = row->per_s,
-    };
-    apply_rate_report(targets, target, &report, reported_at, reported_at, now,
-                      "peer");
-}
-
-static void
-drop_outdated_limits(LrTargets *targets, LrTime now)
-{
-    for (guint i = targets->limited->len; i > 0; i--) {
-        const LrTarget *target = targets->limited->pdata[i - 1];
-        if (!target->rate_limit.limited &&
-            now - target->rate_limit.reported_at > RATE_REPORT_TTL) {
-            g_ptr_array_remove_index_fast(targets->limited, i - 1);
-        }
-    }
-}
-
-size_t
-LrTargets_NextRateReports(LrTargets *targets, LrTime now,
-                          LrTargetLimitMsg *out, size_t max)
-{
-    drop_outdated_limits(targets, now);
-    guint n_targets = targets->limited->len;
-    size_t n = 0;
-    for (guint i = 0; i < n_targets && n < max; i++) {
-        const LrTarget *target =
-            targets->limited->pdata[targets->next_limited++ % n_targets];
-        LrTime age = now - target->rate_limit.reported_at;
-        if (age > RATE_REPORT_TTL) {
-            continue;
-        }
-        out[n++] = (LrTargetLimitMsg){
-            .target = target->key,
-            .limited = target->rate_limit.limited,
-            .per_s = target->rate_limit.per_second,
-            .age_ms = age / LR_MILLISECOND,
-        };
-    }
-    return n;
-}
-
-void
-LrTargets_SetSenders(LrTargets *targets, double n_scatter, double n_single,
-                     LrTime now)
-{
-    targets->n_scatter_senders = n_scatter;
-    targets->n_single_senders = n_single;
-    for (guint i = 0; i < targets->limited->len; i++) {
-        LrTarget *target = targets->limited->pdata[i];
-        LrRateLimit_SetSenders(&target->rate_limit, count_senders(target),
-                               now);
-    }
-}
-
 void
 LrTargets_SetVersions(LrTargets *targets, LrTarget *target, int64_t oldest,
                       int64_t newest)
@@ -819,6 +672,12 @@
     LrTargets_Each(targets, reset_health, NULL);
 }
 
+LrLimitedTargets *
+LrTargets_Limited(LrTargets *targets)
+{
+    return targets->limited;
+}
+
 LrZoneDetector *
 LrTargets_ZoneDetector(LrTargets *targets)
 {
--- a/tests/test_rate_limit.cc
+++ b/tests/test_rate_limit.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 
+#include "limited_targets.h"
 #include "routed_harness.h"
 
 namespace {
@@ -249,13 +250,16 @@
     teller.rate_report = {LR_RATE_REPORT_LIMITED, 10};
     teller.submit("ask");
     teller.reply(teller.take(), LR_REPLY_OK);
-    LrTargetLimitMsg rows[4];
-    auto pass_on = [&](RoutedHarness &from, RoutedHarness &to) {
-        LrTargets *targets = LrEngine_Targets(from.engine);
-        size_t n = LrTargets_NextRateReports(targets, from.now, rows, 4);
+    auto pass_on = [](RoutedHarness &from, RoutedHarness &to) {
+        LrTargets *targets = LrEngine_Targets(to.engine);
+        LrTargetLimitMsg rows[4];
+        size_t n = LrLimitedTargets_NextBatch(
+            LrTargets_Limited(LrEngine_Targets(from.engine)), from.now, rows,
+            4);
         for (size_t i = 0; i < n; i++) {
-            LrTargets_OnPeerRateReport(LrEngine_Targets(to.engine), &rows[i],
-                                       to.now);
+            LrLimitedTargets_OnPeerReport(
+                LrTargets_Limited(targets),
+                LrTargets_Lookup(targets, rows[i].target), &rows[i], to.now);
         }
         return n;
     };
@@ -279,8 +283,15 @@
     EXPECT_EQ(pass_on(listener, teller), 1U);
     EXPECT_FALSE(teller.target("127.0.0.0:1")->rate_limit.limited);
 
-    listener.advance(20 * LR_SECOND);
-    EXPECT_EQ(pass_on(listener, teller), 0U) << "old news are not repeated";
+    // Old news are not repeated, also of a target that is asked again.
+    for (int i = 0; i < 20; i++) {
+        listener.advance(LR_SECOND);
+        listener.submit("ask");
+        listener.reply(listener.take(), LR_REPLY_OK);
+    }
+    EXPECT_EQ(pass_on(listener, teller), 0U);
+    EXPECT_TRUE(LrLimitedTargets_IsEmpty(
+        LrTargets_Limited(LrEngine_Targets(listener.engine))));
 }
 
 TEST(RateLimit, ARequestIsRefusedAtOnceWhenTheLimitsLeaveNoCoverage)
