--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -1,38 +1,11 @@
 // Command lines of the programs: settings, subcommands and exit statuses.
-#include <array>
-#include <cstdio>
 #include <fstream>
 #include <string>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <gtest/gtest.h>
 
-struct Output {
-    int status;
-    std::string text;
-};
-
-// Runs a shell command; text is its standard output and error together.
-static Output
-run(const std::string &command)
-{
-    Output output = {-1, ""};
-    FILE *pipe = popen((command + " 2>&1").c_str(), "r");
-    std::array<char, 4096> buffer;
-    while (size_t got = fread(buffer.data(), 1, buffer.size(), pipe)) {
-        output.text.append(buffer.data(), got);
-    }
-    int status = pclose(pipe);
-    output.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    return output;
-}
-
-static bool
-contains(const Output &output, const char *text)
-{
-    return output.text.find(text) != std::string::npos;
-}
+#include "command.h"
 
 static const std::string BIN = LR_BIN "/";
 static const std::string GOOD =
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -1,5 +1,6 @@
 // The routed interface end to end, from a caller's connection to the searchers
 // and back.
+#include "command.h"
 #include "routed.h"
 
 #include <algorithm>
@@ -506,6 +507,15 @@
         fleet.ask(1, "/w/x", "still");
         return fleet.rate_limit(2, "a1") == 20;
     })) << "a daemon that was restarted learns of it too";
+    Output explained = run(LR_BIN "/lavenderrail --operator http://" +
+                           fleet.address(32) + " explain 'wide#0'");
+    EXPECT_EQ(explained.status, 0);
+    EXPECT_TRUE(contains(explained, "accepts 20 requests/s from all daemons"))
+        << explained.text;
+    std::string metrics =
+        http("http://" + fleet.address(32) + "/metrics").body;
+    EXPECT_NE(metrics.find("lavenderrail_target_limits_total 1"),
+              std::string::npos);
     fleet.fault("a1", "limit", 0);
     EXPECT_TRUE(eventually([&] {
         fleet.ask(1, "/w/x", "ended");
