--- a/liblavenderrail/limited_targets.h
+++ b/liblavenderrail/limited_targets.h
@@ -13,7 +13,7 @@
 LrLimitedTargets *LrLimitedTargets_New(LrRandom *random, LrLog *log,
                                        LrCounters *counters);
 void LrLimitedTargets_Free(LrLimitedTargets *limited);
-/* Whether any target names a limit, or has done so recently. */
+/* Whether no target names a limit, or has done so recently. */
 bool LrLimitedTargets_IsEmpty(const LrLimitedTargets *limited);
 /* Forgets a target that is about to be freed. */
 void LrLimitedTargets_Remove(LrLimitedTargets *limited, LrTarget *target);
