standin_routed: searchers that crash of a request

Change: POST /control/crash names a request target. A searcher that begins to run it resets its connections, and is down for some time: its port is closed, or stays open and resets what it is sent. The stand-in keeps a list of the requests that a searcher runs, so that none is left behind when it ends.

--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -12,6 +12,12 @@
  *                                  removed
  *   POST /control/fault?id&name&value
  *                                  sets a searcher's fault, or stops it
+ *   POST /control/crash?target&for_ms[&open]
+ *                                  every searcher that begins to run a request
+ *                                  with this request target crashes, and is
+ *                                  down for that time; with open=1 its port
+ *                                  stays open and resets what it is sent. 0 ms
+ *                                  ends it
  *   POST /control/store?name&value sets a fault (down, lose) or drops the
  *                                  history (compact)
  *   GET  /control/runs             requests run by searchers, oldest first */
@@ -47,6 +53,13 @@
     int limit;
 } Faults;
 
+/* How the searchers crash that run a request. */
+typedef struct {
+    LrTime down_time;
+    /* The port stays open and resets each connection that sends a request. */
+    bool port_open;
+} Crash;
+
 typedef struct {
     struct ev_loop *loop;
     LrLoopTimers *timers;
@@ -59,6 +72,8 @@
     bool lose;
     GPtrArray *waiters;
     GHashTable *searchers;
+    /* Crash by request target. */
+    GHashTable *crashes;
     json_t *runs;
     unsigned n_requests;
 } Standin;
@@ -78,22 +93,30 @@
     LrTimer timer;
 } Waiter;
 
+/* A request that a searcher is running. */
+typedef struct Work {
+    Searcher *searcher;
+    LrCallerExchange *call;
+    LrTimer timer;
+    TAILQ_ENTRY(Work) of_searcher;
+} Work;
+
 struct Searcher {
     Standin *standin;
+    /* NULL while its port is closed. */
     LrCallerServer *callers;
     char *id;
     char *service;
+    char *address;
     Faults faults;
     unsigned running;
+    TAILQ_HEAD(, Work) works;
+    /* What it crashes of next, or has crashed of and is down for. */
+    Crash crash;
+    LrTime down_until;
+    LrTimer crash_timer;
 };
 
-/* A request that a searcher is running. */
-typedef struct {
-    Searcher *searcher;
-    LrCallerExchange *call;
-    LrTimer timer;
-} Work;
-
 static void
 unref_item(gpointer data)
 {
@@ -238,6 +261,8 @@
 
 /* Searchers. */
 
+static bool listen_searcher(Searcher *searcher, GError **error);
+
 static bool
 should_inject(Searcher *searcher, int percent)
 {
@@ -269,6 +294,16 @@
     return g_bytes_new(words, sizeof(words));
 }
 
+static void
+end_work(Work *work)
+{
+    Searcher *searcher = work->searcher;
+    searcher->running--;
+    TAILQ_REMOVE(&searcher->works, work, of_searcher);
+    LrLoopTimers_Clear(searcher->standin->timers, &work->timer);
+    g_free(work);
+}
+
 static void
 finish_work(void *data, LrTime now)
 {
@@ -280,8 +315,8 @@
     LrStr id = LrHttpMessage_Header(message, "X-Request-Id");
     bool foreign = should_inject(searcher, searcher->faults.foreign);
     bool error = should_inject(searcher, searcher->faults.error);
-    searcher->running--;
     LrCallerExchange_SetData(call, NULL);
+    end_work(work);
     GString *head = g_string_new(NULL);
     g_string_append_printf(
         head,
@@ -298,7 +333,6 @@
         call, head,
         make_records(searcher, LrHttpMessage_RequestTarget(message)), false);
     g_string_free(head, TRUE);
-    g_free(work);
 }
 
 static void
@@ -317,11 +351,75 @@
                   (json_int_t)(LrClock_Now() / LR_MILLISECOND)));
 }
 
+/* Resets the connections, and closes the port or leaves it open. */
+static void
+crash_now(Searcher *searcher)
+{
+    while (!TAILQ_EMPTY(&searcher->works)) {
+        end_work(TAILQ_FIRST(&searcher->works));
+    }
+    LrCallerServer_ResetConnections(searcher->callers);
+    if (!searcher->crash.port_open) {
+        g_clear_pointer(&searcher->callers, LrCallerServer_Free);
+    }
+}
+
+static bool
+is_down(const Searcher *searcher)
+{
+    return LrClock_Now() < searcher->down_until;
+}
+
+/* The handlers of requests must not close connections, so a crash waits for
+ * this timer. The searcher is up again when it fires while its port is
+ * closed. */
+static void
+on_crash_timer(void *data, LrTime now)
+{
+    Searcher *searcher = data;
+    LrTimer *timer = &searcher->crash_timer;
+    if (!searcher->callers) {
+        if (!listen_searcher(searcher, NULL)) {
+            LrLoopTimers_Set(searcher->standin->timers, timer,
+                             now + LR_SECOND);
+        }
+        return;
+    }
+    crash_now(searcher);
+    if (!searcher->callers) {
+        LrLoopTimers_Set(searcher->standin->timers, timer,
+                         searcher->down_until);
+    }
+}
+
+/* Whether the searcher crashes of the request, or is down and resets it. */
+static bool
+crashes(Searcher *searcher, const LrHttpMessage *message)
+{
+    Standin *standin = searcher->standin;
+    g_autofree char *target = LrStr_Dup(LrHttpMessage_RequestTarget(message));
+    const Crash *crash = g_hash_table_lookup(standin->crashes, target);
+    if (!is_down(searcher) && crash) {
+        record_run(searcher, message);
+        searcher->crash = *crash;
+        searcher->down_until = LrClock_Now() + crash->down_time;
+    }
+    if (!is_down(searcher)) {
+        return false;
+    }
+    LrLoopTimers_Set(standin->timers, &searcher->crash_timer, LrClock_Now());
+    return true;
+}
+
 static void
 on_request(void *data, LrCallerExchange *call)
 {
     Searcher *searcher = data;
     const LrHttpMessage *message = LrCallerExchange_Message(call);
+    if (is_down(searcher)) {
+        crashes(searcher, message);
+        return;
+    }
     LrStr expected = LrHttpMessage_Header(message, "X-Expected-Instance");
     if (expected.len > 0 && !LrStr_EqualC(expected, searcher->id)) {
         reply_without_body(call, "421 Misdirected Request", "");
@@ -331,12 +429,16 @@
         reply_without_body(call, "503 Full", "X-Not-Executed: 1\r\n");
         return;
     }
+    if (crashes(searcher, message)) {
+        return;
+    }
     record_run(searcher, message);
     Work *work = g_new0(Work, 1);
     work->searcher = searcher;
     work->call = call;
     work->timer = (LrTimer){.func = finish_work, .data = work};
     searcher->running++;
+    TAILQ_INSERT_TAIL(&searcher->works, work, of_searcher);
     LrCallerExchange_SetData(call, work);
     LrTime work_time = (searcher->faults.work_ms + searcher->faults.pause_ms) *
                        LR_MILLISECOND;
@@ -350,12 +452,10 @@
 static void
 on_caller_gone(void *data, LrCallerExchange *call)
 {
-    Searcher *searcher = data;
+    (void)data;
     Work *work = LrCallerExchange_Data(call);
     if (work) {
-        searcher->running--;
-        LrLoopTimers_Clear(searcher->standin->timers, &work->timer);
-        g_free(work);
+        end_work(work);
     }
 }
 
@@ -366,13 +466,45 @@
     g_string_append_printf(head, "HTTP/1.1 %u Refused\r\n", status);
 }
 
+static bool
+listen_searcher(Searcher *searcher, GError **error)
+{
+    LrCallerServerConfig config = {
+        .loop = searcher->standin->loop,
+        .timers = searcher->standin->timers,
+        .address = LrStr_FromC(searcher->address),
+        .max_connections = MAX_CONNECTIONS,
+        .handler = {.request = on_request,
+                    .caller_gone = on_caller_gone,
+                    .refuse = on_refuse,
+                    .data = searcher},
+    };
+    searcher->callers = LrCallerServer_New(&config, error);
+    if (!searcher->callers) {
+        return false;
+    }
+    LrCallerLimits limits = {
+        .max_head_bytes = MAX_BODY_BYTES,
+        .max_body_bytes = MAX_BODY_BYTES,
+        .receive_timeout = 10 * LR_SECOND,
+        .idle_timeout = 6 * LR_SECOND,
+    };
+    LrCallerServer_SetLimits(searcher->callers, &limits);
+    return true;
+}
+
 static void
 free_searcher(gpointer data)
 {
     Searcher *searcher = data;
+    LrLoopTimers_Clear(searcher->standin->timers, &searcher->crash_timer);
+    while (!TAILQ_EMPTY(&searcher->works)) {
+        end_work(TAILQ_FIRST(&searcher->works));
+    }
     LrCallerServer_Free(searcher->callers);
     g_free(searcher->id);
     g_free(searcher->service);
+    g_free(searcher->address);
     g_free(searcher);
 }
 
@@ -387,32 +519,18 @@
     searcher->standin = standin;
     searcher->id = g_strdup(id);
     searcher->service = g_strdup(service);
+    searcher->address = g_strdup(address);
     searcher->faults.work_ms = 3;
-    LrCallerServerConfig config = {
-        .loop = standin->loop,
-        .timers = standin->timers,
-        .address = LrStr_FromC(address),
-        .max_connections = MAX_CONNECTIONS,
-        .handler = {.request = on_request,
-                    .caller_gone = on_caller_gone,
-                    .refuse = on_refuse,
-                    .data = searcher},
-    };
+    searcher->crash_timer =
+        (LrTimer){.func = on_crash_timer, .data = searcher};
+    TAILQ_INIT(&searcher->works);
     GError *error = NULL;
-    searcher->callers = LrCallerServer_New(&config, &error);
-    if (!searcher->callers) {
+    if (!listen_searcher(searcher, &error)) {
         reply_json(exchange, 400, json_pack("{s:s}", "error", error->message));
         g_error_free(error);
         free_searcher(searcher);
         return;
     }
-    LrCallerLimits limits = {
-        .max_head_bytes = MAX_BODY_BYTES,
-        .max_body_bytes = MAX_BODY_BYTES,
-        .receive_timeout = 10 * LR_SECOND,
-        .idle_timeout = 6 * LR_SECOND,
-    };
-    LrCallerServer_SetLimits(searcher->callers, &limits);
     g_hash_table_replace(standin->searchers, searcher->id, searcher);
     g_autofree char *key = g_strconcat("servers/", id, NULL);
     g_autofree char *value = g_strdup_printf(
@@ -491,6 +609,24 @@
     reply_json(exchange, known ? 200 : 404, NULL);
 }
 
+static void
+set_crash(Standin *standin, LrExchange *exchange)
+{
+    char *target = text_argument(exchange, "target");
+    LrTime down_time = int_argument(exchange, "for_ms") * LR_MILLISECOND;
+    if (down_time <= 0) {
+        g_hash_table_remove(standin->crashes, target);
+        g_free(target);
+    }
+    else {
+        Crash *crash = g_new0(Crash, 1);
+        crash->down_time = down_time;
+        crash->port_open = int_argument(exchange, "open") != 0;
+        g_hash_table_replace(standin->crashes, target, crash);
+    }
+    reply_json(exchange, 200, NULL);
+}
+
 static void
 set_store_fault(Standin *standin, LrExchange *exchange)
 {
@@ -533,6 +669,7 @@
         {"/control/server", start_searcher},
         {"/control/entry", rewrite_entry},
         {"/control/fault", set_searcher_fault},
+        {"/control/crash", set_crash},
         {"/control/store", set_store_fault},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
@@ -586,6 +723,7 @@
 {
     LrServer_Free(standin->store);
     g_hash_table_unref(standin->searchers);
+    g_hash_table_unref(standin->crashes);
     g_hash_table_unref(standin->items);
     g_ptr_array_unref(standin->events);
     g_ptr_array_unref(standin->waiters);
@@ -604,6 +742,8 @@
     standin.waiters = g_ptr_array_new();
     standin.searchers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_searcher);
+    standin.crashes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     standin.runs = json_array();
     standin.revision = 1;
     LrServerConfig config = {
--- a/liblavenderrail/caller_server.c
+++ b/liblavenderrail/caller_server.c
@@ -481,6 +481,20 @@
     }
 }
 
+void
+LrCallerServer_ResetConnections(LrCallerServer *server)
+{
+    const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    Conn *conn;
+    Conn *next;
+    TAILQ_FOREACH_SAFE(conn, &server->conns, of_server, next)
+    {
+        setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        close_conn(conn);
+    }
+    free_closed(server);
+}
+
 size_t
 LrCallerServer_CountBusy(const LrCallerServer *server)
 {
--- a/liblavenderrail/caller_server.h
+++ b/liblavenderrail/caller_server.h
@@ -54,6 +54,10 @@
 void LrCallerServer_SetDraining(LrCallerServer *server, bool draining);
 /* Stops listening, and closes the connections without a request. */
 void LrCallerServer_Quiesce(LrCallerServer *server);
+/* Resets every connection, as a crash of the process does; continues to
+ * listen. The exchanges become invalid without a call of caller_gone. Must not
+ * be called from a handler. */
+void LrCallerServer_ResetConnections(LrCallerServer *server);
 /* Connections on which a request is being read, run or answered. */
 size_t LrCallerServer_CountBusy(const LrCallerServer *server);
 size_t LrCallerServer_CountConnections(const LrCallerServer *server);
--- a/tests/routed.h
+++ b/tests/routed.h
@@ -322,22 +322,29 @@
     std::vector<std::string>
     runs(const std::string &id) const
     {
-        HttpAnswer answer = http(store("/control/runs"));
-        json_t *json =
-            json_loadb(answer.body.data(), answer.body.size(), 0, nullptr);
         std::vector<std::string> servers;
-        size_t i;
-        json_t *run;
-        json_array_foreach(json_object_get(json, "runs"), i, run)
-        {
+        each_run([&](const json_t *run) {
             if (id == json_string_value(json_object_get(run, "id"))) {
                 servers.push_back(
                     json_string_value(json_object_get(run, "server")));
             }
-        }
-        json_decref(json);
+        });
         return servers;
     }
+    // When searchers began to run requests with that request target, in
+    // milliseconds.
+    std::vector<int64_t>
+    run_times(const std::string &target) const
+    {
+        std::vector<int64_t> times;
+        each_run([&](const json_t *run) {
+            if (target == json_string_value(json_object_get(run, "target"))) {
+                times.push_back(
+                    json_integer_value(json_object_get(run, "at_ms")));
+            }
+        });
+        return times;
+    }
 
     // This many of the first daemons have a higher --speed, which gets them
     // chosen as aggregators.
@@ -347,6 +354,22 @@
     int n_zones;
     std::unique_ptr<Process> standin;
     std::vector<std::unique_ptr<Process>> daemons;
+
+  private:
+    void
+    each_run(const std::function<void(const json_t *)> &func) const
+    {
+        HttpAnswer answer = http(store("/control/runs"));
+        json_t *json =
+            json_loadb(answer.body.data(), answer.body.size(), 0, nullptr);
+        size_t i;
+        json_t *run;
+        json_array_foreach(json_object_get(json, "runs"), i, run)
+        {
+            func(run);
+        }
+        json_decref(json);
+    }
 };
 
 #endif
