query, log: broken attempts and crashes of a request can be connected

Cause: an attempt that a crash broke was logged with the id of the caller's attempt, and the verdict with a fingerprint as a negative number; nothing showed which broken attempts counted against a request.

Change: attempt_failed names the fingerprint; crash_unconfirmed and crash_confirmed are logged; LrLog_Hex writes fingerprints as /state does.

--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -80,6 +80,7 @@
     action->body = query->body;
     action->data = query->data;
     action->attempt_kind = KIND_NAMES[part->next_kind];
+    action->fingerprint = query->fingerprint;
 }
 
 bool
--- a/liblavenderrail/gateway_attempt.c
+++ b/liblavenderrail/gateway_attempt.c
@@ -20,6 +20,7 @@
     LrRoutedRequest *routed;
     LrUpstreamRequest *request;
     char *instance;
+    uint64_t fingerprint;
     LrTime sent_at;
     LrTime deadline;
     bool cancelled;
@@ -96,6 +97,7 @@
            LrLog_Int("attempt", (int64_t)attempt->id),
            LrLog_CStr("target", attempt->instance),
            LrLog_CStr("status", LrReplyStatus_Names[reply->status]),
+           LrLog_Hex("fingerprint", attempt->fingerprint),
            LrLog_Int("left_ms",
                      (attempt->deadline - LrClock_Now()) / LR_MILLISECOND));
 }
@@ -142,6 +144,7 @@
     attempt->id = action->attempt;
     attempt->routed = routed;
     attempt->instance = LrStr_Dup(action->target->instance);
+    attempt->fingerprint = action->fingerprint;
     attempt->sent_at = LrClock_Now();
     attempt->deadline = action->deadline;
     routed->refs++;
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -181,6 +181,7 @@
     LrStr text;
     int64_t number;
     bool is_number;
+    bool is_hex;
 } LrLogField;
 
 LrLog *LrLog_New(FILE *file, int level);
@@ -197,6 +198,8 @@
 LrLogField LrLog_Str(const char *key, LrStr value);
 LrLogField LrLog_CStr(const char *key, const char *value);
 LrLogField LrLog_Int(const char *key, int64_t value);
+/* 16 hexadecimal digits, as fingerprints are shown everywhere. */
+LrLogField LrLog_Hex(const char *key, uint64_t value);
 void LrLog_Write(LrLog *log, int priority, const char *event,
                  const LrLogField *fields, size_t n_fields);
 /* Writes "<priority>event=... key=value ..."; does nothing if log is NULL. */
@@ -1208,6 +1211,8 @@
     void *data;
     /* first, retry or hedge. */
     const char *attempt_kind;
+    /* Fingerprint of the request in quarantine. */
+    uint64_t fingerprint;
     LrAnswer *answer;
 } LrAction;
 
--- a/liblavenderrail/log.c
+++ b/liblavenderrail/log.c
@@ -155,6 +155,12 @@
     return (LrLogField){.key = key, .number = value, .is_number = true};
 }
 
+LrLogField
+LrLog_Hex(const char *key, uint64_t value)
+{
+    return (LrLogField){.key = key, .number = (int64_t)value, .is_hex = true};
+}
+
 static bool
 needs_quotes(LrStr text)
 {
@@ -210,6 +216,10 @@
         if (field->is_number) {
             g_string_append_printf(line, "%" G_GINT64_FORMAT, field->number);
         }
+        else if (field->is_hex) {
+            g_string_append_printf(line, "%016" G_GINT64_MODIFIER "x",
+                                   (uint64_t)field->number);
+        }
         else if (needs_quotes(field->text)) {
             append_quoted(line, field->text);
         }
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -360,12 +360,16 @@
         broken->only_in_flight ? LR_CRASH_ALONE : LR_CRASH_WITH_OTHERS;
     LrRequestStatus request_status = LrQuarantine_RecordCrash(
         engine->quarantine, broken->fingerprint, broken->query, context, now);
+    LR_LOG(engine->config.log, LOG_NOTICE, "crash_confirmed",
+           LrLog_Hex("fingerprint", broken->fingerprint),
+           LrLog_Int("alone", broken->only_in_flight),
+           LrLog_Int("ms", (now - broken->at) / LR_MILLISECOND));
     if (request_status == LR_REQUEST_SUSPECT) {
         mark_suspects(engine, broken->fingerprint);
     }
     else if (request_status == LR_REQUEST_QUARANTINED) {
         LR_LOG(engine->config.log, LOG_WARNING, "request_quarantined",
-               LrLog_Int("fingerprint", (int64_t)broken->fingerprint));
+               LrLog_Hex("fingerprint", broken->fingerprint));
     }
 }
 
@@ -397,6 +401,9 @@
     uint64_t fingerprint = part->query->fingerprint;
     LrCrashContext context = crash_context(attempt, target, now);
     if (engine->config.confirm_crashes) {
+        LR_LOG(engine->config.log, LOG_NOTICE, "crash_unconfirmed",
+               LrLog_Hex("fingerprint", fingerprint),
+               LrLog_Str("target", target->name));
         add_unconfirmed_crash(attempt, now);
         return LR_REQUEST_CLEAR;
     }
@@ -414,7 +421,7 @@
 {
     LR_LOG(engine->config.log, LOG_WARNING, "request_quarantined",
            LrLog_Str("entry", query->entry->spec->name),
-           LrLog_Int("fingerprint", (int64_t)query->fingerprint));
+           LrLog_Hex("fingerprint", query->fingerprint));
     for (size_t i = 0; i < query->n_parts; i++) {
         LrGather_SetMissing(&query->parts[i], LR_REASON_QUARANTINED);
     }
