--- a/bench/sim.c
+++ b/bench/sim.c
@@ -329,6 +329,9 @@
             Sim_Check(sim, action.answer);
             LrAnswer_Free(action.answer);
             break;
+        case LR_ACTION_CHECK:
+            /* Only with confirm_crashes. */
+            break;
         }
     }
 }
--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -39,6 +39,9 @@
     N_RECORDS = 8,
 };
 
+/* The health check of every searcher. */
+static const char HEALTH_PATH[] = "/healthz";
+
 typedef struct Searcher Searcher;
 
 typedef struct {
@@ -364,6 +367,14 @@
     }
 }
 
+static void
+reply_healthy(const Searcher *searcher, LrCallerExchange *call)
+{
+    g_autofree char *identity =
+        g_strdup_printf("X-Instance-Id: %s\r\n", searcher->id);
+    reply_without_body(call, "200 OK", identity);
+}
+
 static bool
 is_down(const Searcher *searcher)
 {
@@ -420,6 +431,10 @@
         crashes(searcher, message);
         return;
     }
+    if (LrStr_EqualC(LrHttpMessage_Path(message), HEALTH_PATH)) {
+        reply_healthy(searcher, call);
+        return;
+    }
     LrStr expected = LrHttpMessage_Header(message, "X-Expected-Instance");
     if (expected.len > 0 && !LrStr_EqualC(expected, searcher->id)) {
         reply_without_body(call, "421 Misdirected Request", "");
--- a/liblavenderrail/attempt.c
+++ b/liblavenderrail/attempt.c
@@ -35,6 +35,7 @@
     attempt->sent_at = now;
     attempt->suspect = part->query->suspect;
     attempt->sent_as_suspect = attempt->suspect;
+    attempt->fingerprint = part->query->fingerprint;
     TAILQ_INSERT_TAIL(&target->attempts, attempt, of_target);
     target->in_flight++;
     target->n_suspects += attempt->suspect;
@@ -84,6 +85,9 @@
 void
 LrAttempt_MarkCancelled(LrAttempt *attempt, LrTime median_latency)
 {
+    if (attempt->part->query->harmless) {
+        attempt->fingerprint = 0;
+    }
     remove_from_part(attempt);
     attempt->median_latency = median_latency;
     attempt->target->refs++;
--- a/liblavenderrail/contract.h
+++ b/liblavenderrail/contract.h
@@ -27,6 +27,12 @@
      * have, and the time that remains until the deadline. */
     void (*write_attempt_headers)(LrStr instance, LrTime remaining,
                                   GString *head);
+    /* Appends the head of a check whether a target is up, with its last line
+     * end. */
+    void (*write_check_head)(LrStr path, LrStr address, GString *head);
+    /* Whether a response to a check comes from the target with that
+     * identity. */
+    bool (*is_from_instance)(const LrHttpMessage *response, LrStr instance);
     /* Whether a response belongs to the request with this id. */
     bool (*matches_request)(const LrHttpMessage *response, LrStr id);
     /* Sets status, load report and head of the reply from a complete
--- /dev/null
+++ b/liblavenderrail/crash.c
@@ -0,0 +1,389 @@
+/* Which requests crash targets.
+ *
+ * A connection that breaks before the reply may have been broken by a crash of
+ * the target. In the native interface each broken connection counts as one.
+ * With confirm_crashes it has to be confirmed: the target is checked, and only
+ * when it is down was that a crash. Until then, and until a target has
+ * answered it, the request is a suspect: it has one attempt in flight at a
+ * time, so that it cannot crash the targets of all shards at once. */
+#include "private.h"
+
+#include <string.h>
+
+/* Connections to a target that break within this time of each other count as
+ * one crash. */
+#define SAME_CRASH_WINDOW (100 * LR_MILLISECOND)
+/* How long a broken connection can be confirmed as a crash. A target that has
+ * crashed takes longer to start again. */
+#define UNCONFIRMED_CRASH_TTL (2 * LR_SECOND)
+/* A target is checked this long after a connection to it broke: its listening
+ * socket may be closed later than its connections. */
+#define CHECK_DELAY (10 * LR_MILLISECOND)
+/* A suspect whose attempt broke waits this long for the check of that target
+ * before it is sent to another. */
+#define SUSPECT_HOLD (100 * LR_MILLISECOND)
+
+enum { MAX_CHECKS = 8 };
+
+const char *const LrCheckResult_Names[] = {
+    [LR_CHECK_UP] = "up",
+    [LR_CHECK_DOWN] = "down",
+    [LR_CHECK_UNKNOWN] = "unknown",
+};
+
+static void emit_due_checks(void *data, LrTime now);
+
+void
+LrCrash_Init(LrEngine *engine)
+{
+    engine->quarantine = LrQuarantine_New();
+    engine->due_checks = g_array_new(FALSE, FALSE, sizeof(LrDueCheck));
+    engine->check_timer = (LrTimer){.func = emit_due_checks, .data = engine};
+}
+
+void
+LrCrash_Clear(LrEngine *engine)
+{
+    LrTimers_Cancel(engine->timers, &engine->check_timer);
+    g_array_unref(engine->due_checks);
+    LrQuarantine_Free(engine->quarantine);
+}
+
+/* Marks a query, and its attempts in flight, as suspected of a crash. */
+static void
+mark_suspect(LrQuery *query)
+{
+    query->suspect = true;
+    for (size_t i = 0; i < query->n_parts; i++) {
+        LrQueryPart *part = &query->parts[i];
+        for (unsigned j = 0; j < part->n_in_flight; j++) {
+            LrAttempt *attempt = part->in_flight_attempts[j];
+            attempt->target->n_suspects += !attempt->suspect;
+            attempt->suspect = true;
+        }
+    }
+}
+
+static void
+mark_suspects(LrEngine *engine, uint64_t fingerprint)
+{
+    LrQuery *query;
+    TAILQ_FOREACH(query, &engine->queries, of_engine)
+    {
+        if (query->fingerprint == fingerprint) {
+            mark_suspect(query);
+        }
+    }
+}
+
+static void
+clear_suspect(LrQuery *query, LrTime now)
+{
+    query->suspect = false;
+    query->hold_until = 0;
+    /* Suspects are not hedged. */
+    query->next_hedge_at = now;
+    for (size_t i = 0; i < query->n_parts; i++) {
+        LrQueryPart *part = &query->parts[i];
+        for (unsigned j = 0; j < part->n_in_flight; j++) {
+            LrAttempt *attempt = part->in_flight_attempts[j];
+            attempt->target->n_suspects -= attempt->suspect;
+            attempt->suspect = false;
+        }
+    }
+}
+
+void
+LrCrash_QuarantineQuery(LrEngine *engine, LrQuery *query)
+{
+    LR_LOG(engine->config.log, LOG_WARNING, "request_quarantined",
+           LrLog_Str("entry", query->entry->spec->name),
+           LrLog_Hex("fingerprint", query->fingerprint));
+    for (size_t i = 0; i < query->n_parts; i++) {
+        LrGather_SetMissing(&query->parts[i], LR_REASON_QUARANTINED);
+    }
+}
+
+/* Tells which other requests were in flight when the target crashed. They are
+ * counted at the first connection that breaks; those that break after it
+ * belong to the same crash. */
+static LrCrashContext
+crash_context(const LrAttempt *attempt, LrTarget *target, LrTime now)
+{
+    if (target->connection_broken_at == 0 ||
+        now - target->connection_broken_at > SAME_CRASH_WINDOW) {
+        target->crash_suspects = target->n_suspects;
+        target->crash_requests = target->in_flight;
+        /* A cancelled request may still have been running. */
+        target->crash_requests +=
+            target->cancelled_at > 0 &&
+            now - target->cancelled_at < SAME_CRASH_WINDOW;
+    }
+    target->connection_broken_at = now;
+    if (!attempt->sent_as_suspect || target->crash_suspects > 1) {
+        return LR_CRASH_WITH_SUSPECTS;
+    }
+    return target->crash_requests == 1 ? LR_CRASH_ALONE : LR_CRASH_WITH_OTHERS;
+}
+
+static LrRequestStatus
+record_unconfirmed(LrEngine *engine, const LrAttempt *attempt, LrTime now)
+{
+    LrQueryPart *part = attempt->part;
+    uint64_t fingerprint = part->query->fingerprint;
+    LrCrashContext context = crash_context(attempt, attempt->target, now);
+    part->n_crashes++;
+    LrRequestStatus status = LrQuarantine_RecordCrash(
+        engine->quarantine, fingerprint, attempt->target->index, context, now);
+    if (status == LR_REQUEST_SUSPECT) {
+        mark_suspects(engine, fingerprint);
+    }
+    return status;
+}
+
+/* Emits an action for each check that is due, and arms the timer for the
+ * next. */
+static void
+emit_due_checks(void *data, LrTime now)
+{
+    LrEngine *engine = data;
+    GArray *checks = engine->due_checks;
+    while (checks->len > 0) {
+        LrDueCheck check = g_array_index(checks, LrDueCheck, 0);
+        if (check.due > now) {
+            LrTimers_Arm(engine->timers, &engine->check_timer, check.due);
+            return;
+        }
+        g_array_remove_index(checks, 0);
+        LrTarget *target = check.target;
+        if (target->groups->len == 0) {
+            target->checking = false;
+            engine->n_checks--;
+            LrTargets_Release(engine->targets, target);
+            continue;
+        }
+        const LrGroup *group = target->groups->pdata[0];
+        LrCounters_Add(engine->config.counters, LR_COUNT_CRASH_CHECKS, 1);
+        LrAction *action = LrEngine_AddAction(engine, LR_ACTION_CHECK);
+        action->target = target;
+        action->shard = group->name;
+    }
+}
+
+static void
+schedule_check(LrEngine *engine, LrTarget *target, LrTime now)
+{
+    if (target->checking || engine->n_checks == MAX_CHECKS) {
+        return;
+    }
+    target->checking = true;
+    target->refs++;
+    engine->n_checks++;
+    LrDueCheck check = {.target = target, .due = now + CHECK_DELAY};
+    g_array_append_val(engine->due_checks, check);
+    if (engine->due_checks->len == 1) {
+        LrTimers_Arm(engine->timers, &engine->check_timer, check.due);
+    }
+}
+
+/* Whether the target was down already when the attempt was sent. */
+static bool
+was_down(const LrTarget *target, LrTime sent_at, LrTime now)
+{
+    return target->broken_at > 0 && sent_at > target->broken_at &&
+           now - target->broken_at < UNCONFIRMED_CRASH_TTL;
+}
+
+/* Keeps the broken attempt until it is known whether the target is down.
+ * False when the attempt tells nothing of its request. */
+static bool
+keep_unconfirmed(LrEngine *engine, const LrAttempt *attempt, LrTime now)
+{
+    LrTarget *target = attempt->target;
+    if (attempt->fingerprint == 0 || was_down(target, attempt->sent_at, now)) {
+        return false;
+    }
+    if (target->broken_at == 0 ||
+        now - target->broken_at >= UNCONFIRMED_CRASH_TTL) {
+        target->broken_at = now;
+    }
+    LR_LOG(engine->config.log, LOG_NOTICE, "crash_unconfirmed",
+           LrLog_Hex("fingerprint", attempt->fingerprint),
+           LrLog_Str("target", target->name));
+    if (target->n_broken_requests < LR_MAX_BROKEN_REQUESTS) {
+        target->broken_requests[target->n_broken_requests++] =
+            (LrBrokenRequest){
+                .fingerprint = attempt->fingerprint,
+                .sent_at = attempt->sent_at,
+                .at = now,
+            };
+    }
+    schedule_check(engine, target, now);
+    return true;
+}
+
+LrRequestStatus
+LrCrash_OnBroken(LrEngine *engine, const LrAttempt *attempt, LrTime now)
+{
+    if (!engine->config.confirm_crashes) {
+        return record_unconfirmed(engine, attempt, now);
+    }
+    LrQuery *query = attempt->part->query;
+    if (query->harmless || !keep_unconfirmed(engine, attempt, now)) {
+        return LR_REQUEST_CLEAR;
+    }
+    LrRequestStatus status =
+        LrQuarantine_Check(engine->quarantine, query->fingerprint, now);
+    if (status == LR_REQUEST_SUSPECT || attempt->sent_as_suspect) {
+        query->hold_until = now + SUSPECT_HOLD;
+    }
+    query->n_broken++;
+    mark_suspect(query);
+    return status;
+}
+
+void
+LrCrash_OnCancelledBroken(LrEngine *engine, const LrAttempt *attempt,
+                          LrTime now)
+{
+    if (engine->config.confirm_crashes) {
+        keep_unconfirmed(engine, attempt, now);
+    }
+}
+
+/* Applies what is now known of a request to the queries of it that run. */
+static void
+reconsider(LrEngine *engine, uint64_t fingerprint, LrTime now)
+{
+    LrRequestStatus status =
+        LrQuarantine_Check(engine->quarantine, fingerprint, now);
+    LrQuery *query;
+    LrQuery *next;
+    TAILQ_FOREACH_SAFE(query, &engine->queries, of_engine, next)
+    {
+        if (query->fingerprint != fingerprint || query->queued ||
+            query->harmless) {
+            continue;
+        }
+        query->hold_until = 0;
+        if (status == LR_REQUEST_QUARANTINED) {
+            LrCrash_QuarantineQuery(engine, query);
+        }
+        else if (status == LR_REQUEST_SUSPECT) {
+            mark_suspect(query);
+        }
+        else if (query->suspect) {
+            clear_suspect(query, now);
+        }
+        LrDispatch_SendHeld(engine, query, now);
+        LrQuery_Progress(engine, query, now);
+    }
+}
+
+static void
+confirm_crash(LrEngine *engine, const LrTarget *target,
+              const LrBrokenRequest *broken, LrTime now)
+{
+    LrRequestStatus status =
+        LrQuarantine_RecordConfirmed(engine->quarantine, broken->fingerprint,
+                                     broken->sent_at, broken->at, now);
+    LrCounters_Add(engine->config.counters, LR_COUNT_CRASHES, 1);
+    LR_LOG(engine->config.log, LOG_NOTICE, "crash_confirmed",
+           LrLog_Hex("fingerprint", broken->fingerprint),
+           LrLog_Str("target", target->name),
+           LrLog_Int("crashes", (int64_t)LrQuarantine_CountCrashes(
+                                    engine->quarantine, broken->fingerprint)),
+           LrLog_CStr("status", LrRequestStatus_Names[status]),
+           LrLog_Int("ms", (now - broken->at) / LR_MILLISECOND));
+}
+
+/* Settles whether the connections to the target that broke before were broken
+ * by a crash of it. */
+static void
+settle(LrEngine *engine, LrTarget *target, bool down, LrTime now)
+{
+    LrBrokenRequest broken[LR_MAX_BROKEN_REQUESTS];
+    unsigned n = target->n_broken_requests;
+    memcpy(broken, target->broken_requests, n * sizeof(broken[0]));
+    target->n_broken_requests = 0;
+    if (!down) {
+        target->broken_at = 0;
+    }
+    else if (n > 0) {
+        LrTargets_Eject(engine->targets, target, now);
+    }
+    for (unsigned i = 0; i < n; i++) {
+        bool recent = now - broken[i].at < UNCONFIRMED_CRASH_TTL;
+        if (down && recent) {
+            confirm_crash(engine, target, &broken[i], now);
+        }
+    }
+    for (unsigned i = 0; i < n; i++) {
+        reconsider(engine, broken[i].fingerprint, now);
+    }
+}
+
+void
+LrCrash_OnReply(LrEngine *engine, LrTarget *target, LrTime sent_at,
+                LrReplyStatus status, LrTime now)
+{
+    bool down = status == LR_REPLY_CONNECT_FAILED;
+    bool up = status == LR_REPLY_OK || status == LR_REPLY_SHED ||
+              status == LR_REPLY_ERROR || status == LR_REPLY_REJECTED;
+    /* A reply to a request that was sent before may have been on its way when
+     * the target crashed. */
+    bool tells = target->broken_at > 0 && sent_at >= target->broken_at;
+    if (engine->config.confirm_crashes && tells && (down || up)) {
+        settle(engine, target, down, now);
+    }
+}
+
+static void
+forget_broken(LrTarget *target, uint64_t fingerprint)
+{
+    for (unsigned i = target->n_broken_requests; i > 0; i--) {
+        LrBrokenRequest *broken = &target->broken_requests[i - 1];
+        if (broken->fingerprint == fingerprint) {
+            *broken = target->broken_requests[--target->n_broken_requests];
+        }
+    }
+}
+
+void
+LrCrash_OnAnswered(LrEngine *engine, LrQuery *query, LrTime now)
+{
+    if (query->harmless) {
+        return;
+    }
+    query->harmless = true;
+    for (size_t i = 0; query->n_broken > 0 && i < query->n_parts; i++) {
+        const LrQueryPart *part = &query->parts[i];
+        for (unsigned j = 0; j < part->n_tried; j++) {
+            forget_broken(part->tried[j], query->fingerprint);
+        }
+    }
+    if (query->suspect) {
+        LrQuarantine_Clear(engine->quarantine, query->fingerprint);
+        clear_suspect(query, now);
+    }
+}
+
+void
+LrEngine_OnCheck(LrEngine *engine, LrTime now, LrStr key, LrCheckResult result)
+{
+    LrTarget *target = LrTargets_Lookup(engine->targets, key);
+    if (!target || !target->checking) {
+        return;
+    }
+    engine->now = now;
+    target->checking = false;
+    engine->n_checks--;
+    LR_LOG(engine->config.log, LOG_INFO, "target_checked",
+           LrLog_Str("target", target->name),
+           LrLog_CStr("result", LrCheckResult_Names[result]));
+    if (result != LR_CHECK_UNKNOWN) {
+        settle(engine, target, result == LR_CHECK_DOWN, now);
+    }
+    LrTargets_Release(engine->targets, target);
+    LrEngine_ServeDirty(engine, now);
+}
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -156,6 +156,9 @@
         case LR_ACTION_ANSWER:
             deliver_answer(&action);
             break;
+        case LR_ACTION_CHECK:
+            LrGateway_Check(daemon->gateway, &action);
+            break;
         }
     }
 }
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -205,10 +205,55 @@
     LrGather_SetMissing(part, reason);
 }
 
+/* Whether an attempt of the query is in flight, or waits for capacity, that
+ * tries whether a target survives it. */
+static bool
+has_trial(const LrQuery *query)
+{
+    for (size_t i = 0; i < query->n_parts; i++) {
+        const LrQueryPart *part = &query->parts[i];
+        if (part->queued) {
+            return true;
+        }
+        for (unsigned j = 0; j < part->n_in_flight; j++) {
+            if (part->in_flight_attempts[j]->sent_as_suspect) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static bool
+must_hold(const LrEngine *engine, const LrQuery *query, LrTime now)
+{
+    return engine->config.confirm_crashes && query->suspect &&
+           (now < query->hold_until || has_trial(query));
+}
+
+void
+LrDispatch_SendHeld(LrEngine *engine, LrQuery *query, LrTime now)
+{
+    for (size_t i = 0; i < query->n_parts; i++) {
+        LrQueryPart *part = &query->parts[i];
+        if (part->held && must_hold(engine, query, now)) {
+            return;
+        }
+        if (part->held && part->state == LR_QUERY_PART_WAITING) {
+            part->held = false;
+            LrDispatch_Send(engine, part, now);
+        }
+    }
+}
+
 void
 LrDispatch_Send(LrEngine *engine, LrQueryPart *part, LrTime now)
 {
     const LrQuery *query = part->query;
+    if (must_hold(engine, query, now)) {
+        part->held = true;
+        return;
+    }
     double remaining = (double)(query->hard_deadline - now);
     if (remaining < MIN_TIME_LEFT_MEDIANS *
                         (double)LrDispatch_MedianOrDefault(query) ||
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -31,7 +31,7 @@
     engine->targets = LrTargets_New(&targets, config->policy);
     engine->states = LrStates_New();
     engine->timers = LrTimers_New();
-    engine->quarantine = LrQuarantine_New();
+    LrCrash_Init(engine);
     LrTokenBucket_Init(&engine->hedge_bucket, 0, MAX_HEDGE_TOKENS, 0);
     engine->hedge_bucket.tokens = 0;
     LrTokenBucket_Init(&engine->retry_bucket, RETRY_TOKENS_PER_SECOND,
@@ -67,7 +67,7 @@
         LrTargets_Release(engine->targets, engine->dirty_targets->pdata[i]);
     }
     LrView_Unref(engine->view);
-    LrQuarantine_Free(engine->quarantine);
+    LrCrash_Clear(engine);
     LrTimers_Free(engine->timers);
     LrStates_Free(engine->states);
     LrTargets_Free(engine->targets);
@@ -114,10 +114,8 @@
     g_ptr_array_add(engine->dirty_services, state);
 }
 
-/* Sends waiting work to targets and services that may have gained capacity
- * during the event. */
-static void
-serve_dirty(LrEngine *engine, LrTime now)
+void
+LrEngine_ServeDirty(LrEngine *engine, LrTime now)
 {
     GPtrArray *targets = engine->dirty_targets;
     GPtrArray *states = engine->dirty_services;
@@ -154,7 +152,7 @@
     engine->view =
         LrView_New(catalogue, engine->targets, engine->states, &topology, now);
     LrView_Unref(previous);
-    serve_dirty(engine, now);
+    LrEngine_ServeDirty(engine, now);
 }
 
 /* Hash of the daemons' names and addresses, to detect changes. */
@@ -279,7 +277,7 @@
     }
     engine->now = now;
     uint64_t id = LrQuery_Submit(engine, now, request);
-    serve_dirty(engine, now);
+    LrEngine_ServeDirty(engine, now);
     return id;
 }
 
@@ -292,7 +290,7 @@
     }
     engine->now = now;
     LrQuery_Abandon(engine, query);
-    serve_dirty(engine, now);
+    LrEngine_ServeDirty(engine, now);
     return true;
 }
 
@@ -321,7 +319,6 @@
     apply_target_statements(engine, attempt, reply, now);
     LrTargets_SetVersions(engine->targets, target, reply->oldest_version,
                           reply->newest_version);
-    LrQuery_ConfirmCrashes(engine, target, reply->status, now);
     switch (reply->status) {
     case LR_REPLY_OK:
         LrLatencyHistogram_Add(query->entry->service->state->attempt_latency,
@@ -375,7 +372,13 @@
     else if (reply->status == LR_REPLY_TIMEOUT && !attempt->suspect) {
         LrTargets_OnFailure(engine->targets, target, now);
     }
+    else if (reply->status == LR_REPLY_BROKEN ||
+             reply->status == LR_REPLY_STALE) {
+        LrCrash_OnCancelledBroken(engine, attempt, now);
+    }
+    LrTime sent_at = attempt->sent_at;
     LrAttempt_Free(engine, attempt);
+    LrCrash_OnReply(engine, target, sent_at, reply->status, now);
     LrTargets_Release(engine->targets, target);
 }
 
@@ -388,7 +391,7 @@
     if (cancelled) {
         engine->now = now;
         finish_cancelled(engine, cancelled, reply, now);
-        serve_dirty(engine, now);
+        LrEngine_ServeDirty(engine, now);
         return;
     }
     if (!attempt) {
@@ -396,9 +399,14 @@
         return;
     }
     engine->now = now;
+    LrTarget *target = attempt->target;
+    LrTime sent_at = attempt->sent_at;
+    target->refs++;
     update_target(engine, attempt, reply, now);
     LrQuery_OnReply(engine, attempt, reply, now);
-    serve_dirty(engine, now);
+    LrCrash_OnReply(engine, target, sent_at, reply->status, now);
+    LrTargets_Release(engine->targets, target);
+    LrEngine_ServeDirty(engine, now);
 }
 
 void
@@ -416,7 +424,7 @@
     engine->advanced_at = now;
     engine->now = now;
     LrTimers_FireDue(engine->timers, now);
-    serve_dirty(engine, now);
+    LrEngine_ServeDirty(engine, now);
 }
 
 LrTime
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -295,6 +295,7 @@
     gateway->contract = contract;
     gateway->timers = LrLoopTimers_New(daemon->loop);
     gateway->attempts = LrGateway_NewAttempts();
+    gateway->checks = LrGateway_NewChecks();
     gateway->forward = LrForward_New(gateway);
     LrUpstreamConfig upstream = {
         .loop = daemon->loop,
@@ -330,6 +331,7 @@
     LrForward_Free(gateway->forward);
     LrUpstream_Free(gateway->upstream);
     g_hash_table_unref(gateway->attempts);
+    g_hash_table_unref(gateway->checks);
     LrLoopTimers_Free(gateway->timers);
     g_free(gateway);
 }
--- a/liblavenderrail/gateway.h
+++ b/liblavenderrail/gateway.h
@@ -16,6 +16,8 @@
 void LrGateway_SetCatalogue(LrGateway *gateway, const LrCatalogue *catalogue);
 /* Sends an attempt of a routed request to its target. */
 void LrGateway_Send(LrGateway *gateway, const LrAction *action);
+/* Checks whether the target of the action is up, and tells the engine. */
+void LrGateway_Check(LrGateway *gateway, const LrAction *action);
 /* Cancels an attempt; false when the gateway has no attempt of that id. */
 bool LrGateway_Cancel(LrGateway *gateway, uint64_t attempt);
 void LrGateway_Answered(LrRoutedRequest *routed, const LrAnswer *answer);
--- /dev/null
+++ b/liblavenderrail/gateway_check.c
@@ -0,0 +1,149 @@
+/* The gateway of the routed interface: checks whether a target is up, after a
+ * connection to it broke. */
+#include "gateway_private.h"
+
+/* A target that is up answers a check as soon as it has a slot. */
+#define CHECK_TIMEOUT (500 * LR_MILLISECOND)
+
+typedef struct {
+    LrGateway *gateway;
+    LrStr key;
+    LrStr address;
+    LrStr instance;
+    LrStr path;
+    LrTime deadline;
+    /* The first connection, which was in use before, had been closed; that
+     * tells nothing. */
+    bool repeated;
+} Check;
+
+static LrStr
+copy_str(LrStr text)
+{
+    return (LrStr){.ptr = LrStr_Dup(text), .len = text.len};
+}
+
+static void
+free_check(gpointer data)
+{
+    Check *check = data;
+    g_free((char *)check->key.ptr);
+    g_free((char *)check->address.ptr);
+    g_free((char *)check->instance.ptr);
+    g_free((char *)check->path.ptr);
+    g_free(check);
+}
+
+GHashTable *
+LrGateway_NewChecks(void)
+{
+    return g_hash_table_new_full(NULL, NULL, free_check, NULL);
+}
+
+static void
+write_head(void *data, LrTime now, GString *out)
+{
+    (void)now;
+    const Check *check = data;
+    check->gateway->contract->write_check_head(check->path, check->address,
+                                               out);
+}
+
+static bool
+matches_any(void *data, const LrHttpMessage *response)
+{
+    (void)data;
+    (void)response;
+    return true;
+}
+
+static LrCheckResult
+check_result(const Check *check, LrUpstreamEnd end,
+             const LrHttpMessage *response)
+{
+    switch (end) {
+    case LR_UPSTREAM_OK:
+        return check->gateway->contract->is_from_instance(response,
+                                                          check->instance)
+                   ? LR_CHECK_UP
+                   : LR_CHECK_DOWN;
+    case LR_UPSTREAM_NOT_SENT:
+    case LR_UPSTREAM_BROKEN:
+        return LR_CHECK_DOWN;
+    default:
+        return LR_CHECK_UNKNOWN;
+    }
+}
+
+static void send_check(Check *check);
+
+static void
+on_done(void *data, LrUpstreamEnd end, LrHttpMessage *response)
+{
+    Check *check = data;
+    LrDaemon *daemon = check->gateway->daemon;
+    if (end == LR_UPSTREAM_STALE && !check->repeated) {
+        check->repeated = true;
+        send_check(check);
+        return;
+    }
+    LrTime now = LrClock_Now();
+    LrEngine_Advance(daemon->engine, now);
+    LrEngine_OnCheck(daemon->engine, now, check->key,
+                     check_result(check, end, response));
+    g_hash_table_remove(check->gateway->checks, check);
+    LrDaemon_RunActions(daemon);
+}
+
+static void
+send_check(Check *check)
+{
+    LrUpstreamSpec spec = {
+        .key = check->key,
+        .address = check->address,
+        .write_head = write_head,
+        .matches_request = matches_any,
+        .done = on_done,
+        .data = check,
+        .deadline = check->deadline,
+        .idle_timeout = LR_NEVER,
+        .max_idle_for_reuse = check->repeated ? 0 : LR_NEVER,
+    };
+    LrUpstream_Send(check->gateway->upstream, &spec);
+}
+
+/* Path of the health check of a service; empty when it has none. */
+static LrStr
+health_path(const LrGateway *gateway, LrStr service)
+{
+    LrView *view = LrEngine_View(gateway->daemon->engine);
+    const LrRoutingSpec *spec =
+        LrRoutes_Spec(LrRouting_Routes(view->catalogue));
+    for (size_t i = 0; i < spec->n_pools; i++) {
+        if (LrStr_Equal(spec->pools[i].name, service)) {
+            return spec->pools[i].health_path;
+        }
+    }
+    return LrStr_FromC("");
+}
+
+void
+LrGateway_Check(LrGateway *gateway, const LrAction *action)
+{
+    const LrTarget *target = action->target;
+    LrStr path = health_path(gateway, action->shard);
+    if (path.len == 0) {
+        LrEngine_OnCheck(gateway->daemon->engine, LrClock_Now(), target->key,
+                         LR_CHECK_UNKNOWN);
+        return;
+    }
+    Check *check = g_new0(Check, 1);
+    check->gateway = gateway;
+    check->key = copy_str(target->key);
+    check->address = copy_str(target->address);
+    check->instance = copy_str(target->instance);
+    check->path = copy_str(path);
+    check->deadline = LrClock_Now() + CHECK_TIMEOUT;
+    g_hash_table_add(gateway->checks, check);
+    send_check(check);
+}
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -23,6 +23,8 @@
     LrCallerServer *caller_server;
     LrUpstream *upstream;
     GHashTable *attempts;
+    /* Running checks of targets. */
+    GHashTable *checks;
     LrForward *forward;
     /* Complete answers so far; a sample of them is logged. */
     uint64_t n_complete;
@@ -79,6 +81,10 @@
 /* Creates the table of running attempts, by id. */
 GHashTable *LrGateway_NewAttempts(void);
 
+/* gateway_check.c */
+/* Creates the set of running checks. */
+GHashTable *LrGateway_NewChecks(void);
+
 /* gateway_answer.c */
 /* How long callers should wait before a retry, by reason of the refusal. */
 LrTime LrGateway_RetryAfter(LrReason reason);
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -516,12 +516,11 @@
  * crash only if the target turns out to be down. */
 typedef struct {
     uint64_t fingerprint;
-    uint32_t query;
-    bool only_in_flight;
+    LrTime sent_at;
     LrTime at;
 } LrBrokenRequest;
 
-enum { LR_MAX_BROKEN_REQUESTS = 8 };
+enum { LR_MAX_BROKEN_REQUESTS = 16 };
 
 TAILQ_HEAD(LrAttemptList, LrAttempt);
 TAILQ_HEAD(LrQueryPartList, LrQueryPart);
@@ -584,8 +583,13 @@
      * crash. */
     uint32_t crash_suspects;
     uint32_t crash_requests;
+    /* When a connection to it broke, while it is not known whether that was a
+     * crash or while it is down; 0 otherwise. */
+    LrTime broken_at;
     LrBrokenRequest broken_requests[LR_MAX_BROKEN_REQUESTS];
     unsigned n_broken_requests;
+    /* A check of it is due or runs. */
+    bool checking;
     uint32_t ejections;
     LrTime ejected_until;
     /* Until then another target is believed to be at the address. */
@@ -697,6 +701,9 @@
 /* The target refused a request without running it. */
 void LrTargets_OnShed(LrTargets *targets, LrTarget *target, LrTime now);
 void LrTargets_OnFailure(LrTargets *targets, LrTarget *target, LrTime now);
+/* Leaves the target out of the selection for a time that doubles with each
+ * ejection in series. */
+void LrTargets_Eject(LrTargets *targets, LrTarget *target, LrTime now);
 void LrTargets_MarkLeaving(LrTargets *targets, LrTarget *target,
                            LrLeavingSource source, LrTime now);
 /* The same, until a time, when a peer passed the mark on. */
@@ -929,6 +936,8 @@
     LR_REQUEST_QUARANTINED,
 } LrRequestStatus;
 
+extern const char *const LrRequestStatus_Names[];
+
 LrQuarantine *LrQuarantine_New(void);
 void LrQuarantine_Free(LrQuarantine *quarantine);
 uint64_t LrQuarantine_Fingerprint(LrStr entry, LrStr body);
@@ -948,6 +957,16 @@
 LrRequestStatus LrQuarantine_RecordCrash(LrQuarantine *quarantine,
                                          uint64_t fingerprint, uint32_t target,
                                          LrCrashContext context, LrTime now);
+/* Records a crash that was confirmed, of a target that had run the request
+ * from sent_at to broken_at. Crashes at the same time count as one: a request
+ * over many shards is at all their targets, of which several may end of
+ * another cause. */
+LrRequestStatus LrQuarantine_RecordConfirmed(LrQuarantine *quarantine,
+                                             uint64_t fingerprint,
+                                             LrTime sent_at, LrTime broken_at,
+                                             LrTime now);
+unsigned LrQuarantine_CountCrashes(const LrQuarantine *quarantine,
+                                   uint64_t fingerprint);
 /* A target replied to the request: it is no longer a suspect. */
 void LrQuarantine_Clear(LrQuarantine *quarantine, uint64_t fingerprint);
 /* Quarantines a request until a time, on the report of another daemon. */
@@ -1114,8 +1133,8 @@
     LrTime answer_margin;
     /* No shard is reached through another daemon. */
     bool full_mesh;
-    /* A broken connection counts as a crash of the target only when the next
-     * connect to it fails. */
+    /* A broken connection counts as a crash of the target only when a check,
+     * or the next connect to it, finds it down. */
     bool confirm_crashes;
     /* Cancelled attempts stay counted at their target until the I/O layer
      * reports how they ended. */
@@ -1191,8 +1210,19 @@
     LR_ACTION_SEND,
     LR_ACTION_CANCEL,
     LR_ACTION_ANSWER,
+    /* Find out whether the target is up; the result goes to
+     * LrEngine_OnCheck. */
+    LR_ACTION_CHECK,
 } LrActionKind;
 
+typedef enum {
+    LR_CHECK_UP,
+    LR_CHECK_DOWN,
+    LR_CHECK_UNKNOWN,
+} LrCheckResult;
+
+extern const char *const LrCheckResult_Names[];
+
 /* What the I/O layer has to do. Pointers are valid until the next event; the
  * receiver owns the answer. */
 typedef struct {
@@ -1244,6 +1274,9 @@
 bool LrEngine_Cancel(LrEngine *engine, LrTime now, uint64_t id);
 void LrEngine_OnReply(LrEngine *engine, LrTime now, uint64_t attempt,
                       const LrReply *reply);
+/* Result of a check of the target with that key. */
+void LrEngine_OnCheck(LrEngine *engine, LrTime now, LrStr key,
+                      LrCheckResult result);
 /* Fires timers and detects late wake-ups; to be called first after every
  * wake-up. */
 void LrEngine_Advance(LrEngine *engine, LrTime now);
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -31,6 +31,8 @@
      * attempt was sent. */
     bool suspect;
     bool sent_as_suspect;
+    /* Of its query; 0 when that was answered by a target meanwhile. */
+    uint64_t fingerprint;
     /* Median latency of its service when it was cancelled; 0 while unknown. */
     LrTime median_latency;
     TAILQ_ENTRY(LrAttempt) of_target;
@@ -57,6 +59,8 @@
     GBytes *head;
     GBytes *body;
     bool queued;
+    /* Waits until the query, a suspect, may be sent to one more target. */
+    bool held;
     TAILQ_ENTRY(LrQueryPart) of_group;
 };
 
@@ -94,10 +98,22 @@
     bool queued;
     bool running;
     bool suspect;
+    /* A target has answered it, so that it is none that crashes targets. */
+    bool harmless;
+    /* Attempts whose connection broke, while none was answered. */
+    unsigned n_broken;
+    /* A suspect that is held back until then; 0 when it is not. */
+    LrTime hold_until;
     TAILQ_ENTRY(LrQuery) of_queue;
     TAILQ_ENTRY(LrQuery) of_engine;
 };
 
+/* A target to be checked. */
+typedef struct {
+    LrTarget *target;
+    LrTime due;
+} LrDueCheck;
+
 struct LrEngine {
     LrEngineConfig config;
     LrRandom *random;
@@ -106,6 +122,11 @@
     LrView *view;
     LrTimers *timers;
     LrQuarantine *quarantine;
+    /* Checks of targets that are due, in order, and the number of those and
+     * of the running ones. */
+    GArray *due_checks;
+    unsigned n_checks;
+    LrTimer check_timer;
     LrTokenBucket hedge_bucket;
     LrTokenBucket retry_bucket;
     struct LrQueryList queries;
@@ -186,6 +207,8 @@
 /* Sends the part to the target, as an attempt of kind next_kind. */
 void LrDispatch_SendTo(LrEngine *engine, LrQueryPart *part, LrTarget *target,
                        LrTime now);
+/* Sends parts that were held back, as far as the query may be sent now. */
+void LrDispatch_SendHeld(LrEngine *engine, LrQuery *query, LrTime now);
 /* Sends parts that wait for capacity at the target. */
 void LrDispatch_SendWaiting(LrEngine *engine, LrTarget *target, LrTime now);
 /* Cancels every attempt of the part that is in flight, here and at its
@@ -227,10 +250,6 @@
                         const LrRequest *request);
 /* Ends the query without an answer. */
 void LrQuery_Abandon(LrEngine *engine, LrQuery *query);
-/* Decides by a later reply of the target whether connections that broke there
- * before were crashes of it. */
-void LrQuery_ConfirmCrashes(LrEngine *engine, LrTarget *target,
-                            LrReplyStatus status, LrTime now);
 void LrQuery_OnReply(LrEngine *engine, LrAttempt *attempt,
                      const LrReply *reply, LrTime now);
 /* Starts an admitted query: chooses the index version and sends the parts. */
@@ -241,7 +260,29 @@
 void LrQuery_Progress(LrEngine *engine, LrQuery *query, LrTime now);
 void LrQuery_SetTimer(LrEngine *engine, LrQuery *query, LrTime now);
 
+/* crash.c */
+void LrCrash_Init(LrEngine *engine);
+void LrCrash_Clear(LrEngine *engine);
+/* The connection of an attempt broke before a reply, as it does when the
+ * target crashes. Returns what is known of its request. */
+LrRequestStatus LrCrash_OnBroken(LrEngine *engine, const LrAttempt *attempt,
+                                 LrTime now);
+/* The same for an attempt that had been cancelled. */
+void LrCrash_OnCancelledBroken(LrEngine *engine, const LrAttempt *attempt,
+                               LrTime now);
+/* Decides by the end of an attempt that was sent later whether connections
+ * that broke before were broken by a crash of the target. May end queries. */
+void LrCrash_OnReply(LrEngine *engine, LrTarget *target, LrTime sent_at,
+                     LrReplyStatus status, LrTime now);
+/* A target answered the query. */
+void LrCrash_OnAnswered(LrEngine *engine, LrQuery *query, LrTime now);
+/* Ends the parts of a query that is quarantined. */
+void LrCrash_QuarantineQuery(LrEngine *engine, LrQuery *query);
+
 /* engine.c */
+/* Sends waiting work to targets and services that may have gained capacity
+ * during the event. */
+void LrEngine_ServeDirty(LrEngine *engine, LrTime now);
 LrAction *LrEngine_AddAction(LrEngine *engine, LrActionKind kind);
 /* Marks a target or a service that may have capacity for waiting work, which
  * is sent at the end of the event. */
--- a/liblavenderrail/quarantine.c
+++ b/liblavenderrail/quarantine.c
@@ -12,11 +12,27 @@
     MAX_RECORDS = 4096,
     CRASHES_ALONE = 2,
     CRASHES_WITH_OTHERS = 3,
+    CRASHES_CONFIRMED = 3,
 };
 
+const char *const LrRequestStatus_Names[] = {
+    [LR_REQUEST_CLEAR] = "clear",
+    [LR_REQUEST_SUSPECT] = "suspect",
+    [LR_REQUEST_QUARANTINED] = "quarantined",
+};
+
+/* Time in which a target ran a request, up to its crash. */
+typedef struct {
+    LrTime start;
+    LrTime end;
+} RunInterval;
+
 typedef struct {
     uint64_t fingerprint;
     unsigned n_crashes;
+    /* Of the confirmed crashes of this daemon's targets. */
+    RunInterval runs[CRASHES_CONFIRMED];
+    unsigned n_runs;
     bool quarantined;
     uint32_t last_target;
     LrTime expires_at;
@@ -130,6 +146,56 @@
     return request_status(record);
 }
 
+static bool
+overlaps(const CrashRecord *record, LrTime start, LrTime end)
+{
+    for (unsigned i = 0; i < record->n_runs; i++) {
+        if (start < record->runs[i].end && end > record->runs[i].start) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+count_confirmed(CrashRecord *record, LrTime now)
+{
+    record->n_crashes++;
+    record->expires_at = now + SUSPECT_TTL;
+    if (record->n_crashes >= CRASHES_CONFIRMED) {
+        record->quarantined = true;
+        record->expires_at = now + QUARANTINE_TTL;
+    }
+}
+
+LrRequestStatus
+LrQuarantine_RecordConfirmed(LrQuarantine *quarantine, uint64_t fingerprint,
+                             LrTime sent_at, LrTime broken_at, LrTime now)
+{
+    CrashRecord *record = lookup_record(quarantine, fingerprint, now);
+    if (!record) {
+        record = add_record(quarantine, fingerprint, now);
+    }
+    if (!record) {
+        return LR_REQUEST_CLEAR;
+    }
+    if (record->quarantined || overlaps(record, sent_at, broken_at)) {
+        return request_status(record);
+    }
+    record->runs[record->n_runs++] =
+        (RunInterval){.start = sent_at, .end = broken_at};
+    count_confirmed(record, now);
+    return request_status(record);
+}
+
+unsigned
+LrQuarantine_CountCrashes(const LrQuarantine *quarantine, uint64_t fingerprint)
+{
+    const CrashRecord *record =
+        g_hash_table_lookup(quarantine->records, &fingerprint);
+    return record ? record->n_crashes : 0;
+}
+
 void
 LrQuarantine_Clear(LrQuarantine *quarantine, uint64_t fingerprint)
 {
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -131,6 +131,9 @@
         due = MIN(due, query->soft_deadline);
     }
     due = MIN(due, MAX(query->next_hedge_at, now + MIN_HEDGE_TIMER_DELAY));
+    if (query->hold_until > now) {
+        due = MIN(due, query->hold_until);
+    }
     if (query->timer.heap_index == 0 || query->timer.due != due) {
         LrTimers_Arm(engine->timers, &query->timer, due);
     }
@@ -146,6 +149,7 @@
         LrQuery_Finish(engine, query, LR_REASON_OVERLOAD, now);
         return;
     }
+    LrDispatch_SendHeld(engine, query, now);
     if (query->next_hedge_at <= now && now < query->hard_deadline) {
         LrHedge_Run(engine, query, now);
     }
@@ -277,156 +281,6 @@
     LrDispatch_Send(engine, part, now);
 }
 
-/* Connections to a target that break within this time of each other count as
- * one crash. */
-#define SAME_CRASH_WINDOW (100 * LR_MILLISECOND)
-
-/* Tells which other requests were in flight when the target crashed. They are
- * counted at the first connection that breaks; those that break after it
- * belong to the same crash. */
-static LrCrashContext
-crash_context(const LrAttempt *attempt, LrTarget *target, LrTime now)
-{
-    if (target->connection_broken_at == 0 ||
-        now - target->connection_broken_at > SAME_CRASH_WINDOW) {
-        target->crash_suspects = target->n_suspects;
-        target->crash_requests = target->in_flight;
-        /* A cancelled request may still have been running. */
-        target->crash_requests +=
-            target->cancelled_at > 0 &&
-            now - target->cancelled_at < SAME_CRASH_WINDOW;
-    }
-    target->connection_broken_at = now;
-    if (!attempt->sent_as_suspect || target->crash_suspects > 1) {
-        return LR_CRASH_WITH_SUSPECTS;
-    }
-    return target->crash_requests == 1 ? LR_CRASH_ALONE : LR_CRASH_WITH_OTHERS;
-}
-
-/* Marks a query, and its attempts in flight, as suspected of a crash. */
-static void
-mark_suspect(LrQuery *query)
-{
-    query->suspect = true;
-    for (size_t i = 0; i < query->n_parts; i++) {
-        LrQueryPart *part = &query->parts[i];
-        for (unsigned j = 0; j < part->n_in_flight; j++) {
-            LrAttempt *attempt = part->in_flight_attempts[j];
-            attempt->target->n_suspects += !attempt->suspect;
-            attempt->suspect = true;
-        }
-    }
-}
-
-static void
-mark_suspects(LrEngine *engine, uint64_t fingerprint)
-{
-    LrQuery *query;
-    TAILQ_FOREACH(query, &engine->queries, of_engine)
-    {
-        if (query->fingerprint == fingerprint) {
-            mark_suspect(query);
-        }
-    }
-}
-
-/* How long a broken connection can be confirmed as a crash by a failed
- * connect. */
-#define UNCONFIRMED_CRASH_TTL (2 * LR_SECOND)
-
-static void
-add_unconfirmed_crash(const LrAttempt *attempt, LrTime now)
-{
-    LrTarget *target = attempt->target;
-    const LrQuery *query = attempt->part->query;
-    if (target->n_broken_requests < LR_MAX_BROKEN_REQUESTS) {
-        target->broken_requests[target->n_broken_requests++] =
-            (LrBrokenRequest){
-                .fingerprint = query->fingerprint,
-                .query = (uint32_t)query->id,
-                .only_in_flight = target->crash_requests == 1,
-                .at = now,
-            };
-    }
-}
-
-/* Records the crash under the query instead of the target, so that a query
- * counts once however many targets it was sent to; a request that crashes
- * targets is submitted again. */
-static void
-confirm_crash(LrEngine *engine, const LrBrokenRequest *broken, LrTime now)
-{
-    LrCrashContext context =
-        broken->only_in_flight ? LR_CRASH_ALONE : LR_CRASH_WITH_OTHERS;
-    LrRequestStatus request_status = LrQuarantine_RecordCrash(
-        engine->quarantine, broken->fingerprint, broken->query, context, now);
-    LR_LOG(engine->config.log, LOG_NOTICE, "crash_confirmed",
-           LrLog_Hex("fingerprint", broken->fingerprint),
-           LrLog_Int("alone", broken->only_in_flight),
-           LrLog_Int("ms", (now - broken->at) / LR_MILLISECOND));
-    if (request_status == LR_REQUEST_SUSPECT) {
-        mark_suspects(engine, broken->fingerprint);
-    }
-    else if (request_status == LR_REQUEST_QUARANTINED) {
-        LR_LOG(engine->config.log, LOG_WARNING, "request_quarantined",
-               LrLog_Hex("fingerprint", broken->fingerprint));
-    }
-}
-
-void
-LrQuery_ConfirmCrashes(LrEngine *engine, LrTarget *target,
-                       LrReplyStatus status, LrTime now)
-{
-    bool down = status == LR_REPLY_CONNECT_FAILED;
-    bool up = status == LR_REPLY_OK || status == LR_REPLY_SHED ||
-              status == LR_REPLY_ERROR;
-    if (!down && !up) {
-        return;
-    }
-    for (unsigned i = 0; down && i < target->n_broken_requests; i++) {
-        if (now - target->broken_requests[i].at < UNCONFIRMED_CRASH_TTL) {
-            confirm_crash(engine, &target->broken_requests[i], now);
-        }
-    }
-    target->n_broken_requests = 0;
-}
-
-/* The connection broke while the target ran the attempt, as it does when the
- * target crashes. */
-static LrRequestStatus
-record_crash(LrEngine *engine, const LrAttempt *attempt, LrTime now)
-{
-    LrQueryPart *part = attempt->part;
-    LrTarget *target = attempt->target;
-    uint64_t fingerprint = part->query->fingerprint;
-    LrCrashContext context = crash_context(attempt, target, now);
-    if (engine->config.confirm_crashes) {
-        LR_LOG(engine->config.log, LOG_NOTICE, "crash_unconfirmed",
-               LrLog_Hex("fingerprint", fingerprint),
-               LrLog_Str("target", target->name));
-        add_unconfirmed_crash(attempt, now);
-        return LR_REQUEST_CLEAR;
-    }
-    part->n_crashes++;
-    LrRequestStatus request_status = LrQuarantine_RecordCrash(
-        engine->quarantine, fingerprint, target->index, context, now);
-    if (request_status == LR_REQUEST_SUSPECT) {
-        mark_suspects(engine, fingerprint);
-    }
-    return request_status;
-}
-
-static void
-quarantine_query(LrEngine *engine, LrQuery *query)
-{
-    LR_LOG(engine->config.log, LOG_WARNING, "request_quarantined",
-           LrLog_Str("entry", query->entry->spec->name),
-           LrLog_Hex("fingerprint", query->fingerprint));
-    for (size_t i = 0; i < query->n_parts; i++) {
-        LrGather_SetMissing(&query->parts[i], LR_REASON_QUARANTINED);
-    }
-}
-
 static bool
 proves_not_run(LrReplyStatus status)
 {
@@ -481,7 +335,7 @@
         LrGather_StoreReply(part, reply);
     }
     if (request_status == LR_REQUEST_QUARANTINED) {
-        quarantine_query(engine, query);
+        LrCrash_QuarantineQuery(engine, query);
     }
     if (part->state == LR_QUERY_PART_MISSING) {
         return;
@@ -503,7 +357,10 @@
 on_answered(LrEngine *engine, LrQueryPart *part, LrTarget *target,
             const LrReply *reply, LrTime now)
 {
-    if (part->n_crashes > 0) {
+    if (engine->config.confirm_crashes) {
+        LrCrash_OnAnswered(engine, part->query, now);
+    }
+    else if (part->n_crashes > 0) {
         LrQuarantine_Clear(engine->quarantine, part->query->fingerprint);
     }
     LrLatencyHistogram *latency =
@@ -531,8 +388,9 @@
         LrCounters_Add(engine->config.counters, LR_COUNT_BAD_ANSWERS, 1);
     }
     LrRequestStatus request_status = LR_REQUEST_CLEAR;
-    if (checked.status == LR_REPLY_BROKEN) {
-        request_status = record_crash(engine, attempt, now);
+    if (checked.status == LR_REPLY_BROKEN ||
+        checked.status == LR_REPLY_STALE) {
+        request_status = LrCrash_OnBroken(engine, attempt, now);
     }
     LrAttempt_Free(engine, attempt);
     if (checked.status == LR_REPLY_OK) {
@@ -541,5 +399,6 @@
     else {
         on_failure(engine, part, &checked, request_status, now);
     }
+    LrDispatch_SendHeld(engine, query, now);
     LrQuery_Progress(engine, query, now);
 }
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -582,8 +582,15 @@
 {
     add_attempt_outcome(target, true, now);
     target->consecutive_failures++;
-    if (target->consecutive_failures < FAILURES_TO_EJECT ||
-        target->ejected_until > now) {
+    if (target->consecutive_failures >= FAILURES_TO_EJECT) {
+        LrTargets_Eject(targets, target, now);
+    }
+}
+
+void
+LrTargets_Eject(LrTargets *targets, LrTarget *target, LrTime now)
+{
+    if (target->ejected_until > now) {
         return;
     }
     LrTime length = BASE_EJECTION_TIME
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -127,6 +127,16 @@
         collect();
     }
 
+    // Ends the oldest check.
+    void
+    end_check(LrCheckResult result)
+    {
+        std::string key = checks.front();
+        checks.pop_front();
+        LrEngine_OnCheck(engine, now, LrStr{key.data(), key.size()}, result);
+        collect();
+    }
+
     void
     cancel(uint64_t id)
     {
@@ -212,6 +222,7 @@
     LrRateReport rate_report = {};
     std::deque<Send> sends;
     std::vector<uint64_t> cancels;
+    std::deque<std::string> checks;
     std::vector<Answer> answers;
 
   private:
@@ -257,6 +268,9 @@
             else if (action.kind == LR_ACTION_CANCEL) {
                 cancels.push_back(action.attempt);
             }
+            else if (action.kind == LR_ACTION_CHECK) {
+                checks.push_back(text(action.target->key));
+            }
             else {
                 take_answer(action.answer);
             }
--- a/tests/routed.h
+++ b/tests/routed.h
@@ -256,9 +256,12 @@
                     "\"timeout_ms\":1500,\"service\":\"c\","
                     "\"max_attempts\":2}" +
                     more_routes +
-                    "],\"services\":[{\"name\":\"a\",\"max_connections\":30},"
-                    "{\"name\":\"b\",\"max_connections\":30},"
-                    "{\"name\":\"c\",\"max_connections\":30}],"
+                    "],\"services\":[{\"name\":\"a\",\"health_path\":\"/"
+                    "healthz\",\"max_connections\":30},"
+                    "{\"name\":\"b\",\"health_path\":\"/"
+                    "healthz\",\"max_connections\":30},"
+                    "{\"name\":\"c\",\"health_path\":\"/"
+                    "healthz\",\"max_connections\":30}],"
                     "\"limits\":{\"max_header_bytes\":2048,"
                     "\"max_body_bytes\":4096,\"header_timeout_ms\":700,"
                     "\"idle_timeout_ms\":1500}}");
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -221,7 +221,8 @@
                  service=SINGLE)]
         await self.control("config", json.dumps({
             "version": version, "routes": routes,
-            "services": [{"name": name, "max_connections": 60}
+            "services": [{"name": name, "max_connections": 60,
+                          "health_path": "/healthz"}
                          for name in (*services, SINGLE)],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}))
--- /dev/null
+++ b/tests/test_crash.cc
@@ -0,0 +1,174 @@
+// Which requests are held responsible for crashes of targets, in the routed
+// interface: one engine under virtual time.
+#include "routed_harness.h"
+
+namespace {
+
+constexpr LrTime MS = LR_MILLISECOND;
+
+class CrashHarness : public RoutedHarness {
+  public:
+    CrashHarness(int n_groups, int n_replicas)
+        : RoutedHarness(n_groups, n_replicas)
+    {
+    }
+    // Ends all attempts, after a millisecond, and then the checks of targets.
+    void
+    end_all(LrReplyStatus status, LrCheckResult check)
+    {
+        while (!sends.empty() || !checks.empty()) {
+            now += MS;
+            while (!sends.empty()) {
+                n_ended++;
+                reply(take(), status);
+            }
+            advance(20 * MS);
+            while (!checks.empty()) {
+                end_check(check);
+            }
+        }
+    }
+    LrReason
+    last_reason() const
+    {
+        return answers.back().reason;
+    }
+
+    int n_ended = 0;
+};
+
+} // namespace
+
+TEST(Crash, ConnectionsInUseAgainCountOnceACheckFindsTheTargetDown)
+{
+    CrashHarness harness(1, 9);
+    for (int i = 0; i < 6; i++) {
+        harness.submit("ask", false, "crashes");
+        harness.end_all(LR_REPLY_STALE, LR_CHECK_DOWN);
+        harness.advance(300 * MS);
+    }
+    EXPECT_EQ(harness.n_ended, 3);
+    EXPECT_EQ(harness.last_reason(), LR_REASON_QUARANTINED);
+    EXPECT_EQ(harness.answers.back().outcome, LR_OUTCOME_NOT_RUN);
+    EXPECT_EQ(harness.count(LR_COUNT_CRASHES), 3u);
+}
+
+TEST(Crash, ARequestIsNotToBlameWhileItsTargetsAreUp)
+{
+    for (LrReplyStatus status : {LR_REPLY_STALE, LR_REPLY_BROKEN}) {
+        CrashHarness harness(4, 3);
+        for (int i = 0; i < 20; i++) {
+            harness.submit("ask", false, "unlucky");
+            harness.end_all(status, LR_CHECK_UP);
+            EXPECT_NE(harness.last_reason(), LR_REASON_QUARANTINED);
+            harness.advance(300 * MS);
+        }
+        EXPECT_EQ(harness.count(LR_COUNT_CRASHES), 0u);
+    }
+}
+
+TEST(Crash, ASuspectIsAtOneTargetAtATime)
+{
+    constexpr int N_GROUPS = 10;
+    CrashHarness harness(N_GROUPS, 9);
+    harness.submit("ask", false, "crashes");
+    ASSERT_EQ(harness.sends.size(), (size_t)N_GROUPS);
+    harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+    // Beside those that ran it at first: one attempt before the first check
+    // has ended, and one for each further crash that shows its cause.
+    EXPECT_LE(harness.n_ended, N_GROUPS + 3);
+    harness.submit("ask", false, "crashes");
+    EXPECT_TRUE(harness.sends.empty());
+    EXPECT_EQ(harness.last_reason(), LR_REASON_QUARANTINED);
+}
+
+TEST(Crash, ASuspectOverManyShardsIsServedOnceOneOfThemAnswers)
+{
+    CrashHarness harness(5, 3);
+    harness.submit("ask", false, "suspect");
+    harness.now += MS;
+    harness.reply(harness.take(), LR_REPLY_BROKEN);
+    harness.reply(harness.take(), LR_REPLY_BROKEN);
+    EXPECT_EQ(harness.sends.size(), 4u) << "one is held back";
+    harness.reply(harness.take(), LR_REPLY_OK);
+    while (!harness.sends.empty()) {
+        harness.reply(harness.take(), LR_REPLY_OK);
+    }
+    ASSERT_EQ(harness.answers.size(), 1u);
+    EXPECT_EQ(harness.answers[0].outcome, LR_OUTCOME_COMPLETE);
+    harness.advance(20 * MS);
+    while (!harness.checks.empty()) {
+        harness.end_check(LR_CHECK_DOWN);
+    }
+    EXPECT_EQ(harness.count(LR_COUNT_CRASHES), 0u) << "others caused them";
+}
+
+TEST(Crash, TargetsOfManyShardsThatCrashAtOnceCountOnce)
+{
+    CrashHarness harness(8, 3);
+    harness.submit("ask", false, "bystander");
+    harness.now += MS;
+    for (int i = 0; i < 8; i++) {
+        harness.reply(harness.take(), LR_REPLY_BROKEN);
+    }
+    harness.advance(20 * MS);
+    while (!harness.checks.empty()) {
+        harness.end_check(LR_CHECK_DOWN);
+    }
+    while (!harness.sends.empty()) {
+        harness.reply(harness.take(), LR_REPLY_OK);
+    }
+    ASSERT_EQ(harness.answers.size(), 1u);
+    EXPECT_EQ(harness.answers[0].outcome, LR_OUTCOME_COMPLETE);
+}
+
+TEST(Crash, AnAttemptWhoseCallerLeftCountsToo)
+{
+    CrashHarness harness(1, 9);
+    for (int i = 0; i < 3; i++) {
+        harness.cancel(harness.submit("ask", false, "crashes"));
+        harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+    }
+    EXPECT_EQ(harness.n_ended, 3);
+    harness.submit("ask", false, "crashes");
+    EXPECT_TRUE(harness.sends.empty());
+    EXPECT_EQ(harness.last_reason(), LR_REASON_QUARANTINED);
+}
+
+TEST(Crash, AReplyThatWasOnItsWayDoesNotShowThatTheTargetIsUp)
+{
+    CrashHarness harness(1, 1);
+    for (int i = 0; i < 3; i++) {
+        harness.submit("once", false, "crashes");
+        harness.submit("once", false, ("other" + std::to_string(i)).c_str());
+        ASSERT_EQ(harness.sends.size(), 2u);
+        harness.now += MS;
+        Send crash = harness.take();
+        Send other = harness.take();
+        harness.reply(crash, LR_REPLY_BROKEN);
+        harness.reply(other, LR_REPLY_OK);
+        harness.advance(20 * MS);
+        while (!harness.checks.empty()) {
+            harness.end_check(LR_CHECK_DOWN);
+        }
+        harness.advance(3 * LR_SECOND);
+    }
+    harness.submit("once", false, "crashes");
+    EXPECT_TRUE(harness.sends.empty());
+    EXPECT_EQ(harness.last_reason(), LR_REASON_QUARANTINED);
+}
+
+// A target that keeps its port open while it is down resets what it is sent.
+TEST(Crash, RequestsThatATargetResetsWhileItIsDownAreNotToBlame)
+{
+    CrashHarness harness(1, 1);
+    harness.submit("once", false, "crashes");
+    harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+    for (int i = 0; i < 6; i++) {
+        harness.submit("once", false, "bystander");
+        harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+        EXPECT_NE(harness.last_reason(), LR_REASON_QUARANTINED);
+        harness.advance(200 * MS);
+    }
+    EXPECT_EQ(harness.count(LR_COUNT_CRASHES), 1u);
+}
