crash, fleet: daemons count the crashes of a request together

Cause: each daemon counted for itself; a peer learnt only of the verdict. So the crashes that it takes grew with the number of daemons.

Change: a daemon tells its peers of an attempt that broke before any answer (they then treat the request as a suspect for a second), of each confirmed crash with the target that is down, and that a suspect was answered. In a fleet of more than 17 the same sixteen peers, chosen by the request, are told. The target's name lets them leave it out, and not blame requests that it resets while it is down.

--- a/liblavenderrail/crash.c
+++ b/liblavenderrail/crash.c
@@ -23,7 +23,11 @@
  * before it is sent to another. */
 #define SUSPECT_HOLD (100 * LR_MILLISECOND)
 
-enum { MAX_CHECKS = 8 };
+enum {
+    MAX_CHECKS = 8,
+    /* Reports that are kept for peers between two deliveries. */
+    MAX_REPORTS = 64,
+};
 
 const char *const LrCheckResult_Names[] = {
     [LR_CHECK_UP] = "up",
@@ -33,11 +37,48 @@
 
 static void emit_due_checks(void *data, LrTime now);
 
+static void
+clear_report(gpointer data)
+{
+    g_free((char *)((LrCrashReport *)data)->target.ptr);
+}
+
+static void
+add_report(LrEngine *engine, uint64_t fingerprint, LrCrashEvent event,
+           const LrTarget *target)
+{
+    if (engine->crash_reports->len == MAX_REPORTS) {
+        LR_LOG(engine->config.log, LOG_WARNING, "crash_report_dropped",
+               LrLog_Hex("fingerprint", fingerprint));
+        return;
+    }
+    LrCrashReport report = {.fingerprint = fingerprint, .event = event};
+    if (target) {
+        report.target =
+            (LrStr){.ptr = LrStr_Dup(target->key), .len = target->key.len};
+    }
+    g_array_append_val(engine->crash_reports, report);
+}
+
+void
+LrEngine_EachCrashReport(LrEngine *engine,
+                         void (*func)(void *data, const LrCrashReport *report),
+                         void *data)
+{
+    GArray *reports = engine->crash_reports;
+    for (guint i = 0; i < reports->len; i++) {
+        func(data, &g_array_index(reports, LrCrashReport, i));
+    }
+    g_array_set_size(reports, 0);
+}
+
 void
 LrCrash_Init(LrEngine *engine)
 {
     engine->quarantine = LrQuarantine_New();
     engine->due_checks = g_array_new(FALSE, FALSE, sizeof(LrDueCheck));
+    engine->crash_reports = g_array_new(FALSE, FALSE, sizeof(LrCrashReport));
+    g_array_set_clear_func(engine->crash_reports, clear_report);
     engine->check_timer = (LrTimer){.func = emit_due_checks, .data = engine};
 }
 
@@ -46,6 +87,7 @@
 {
     LrTimers_Cancel(engine->timers, &engine->check_timer);
     g_array_unref(engine->due_checks);
+    g_array_unref(engine->crash_reports);
     LrQuarantine_Free(engine->quarantine);
 }
 
@@ -218,6 +260,10 @@
                 .at = now,
             };
     }
+    if (LrQuarantine_Check(engine->quarantine, attempt->fingerprint, now) ==
+        LR_REQUEST_CLEAR) {
+        add_report(engine, attempt->fingerprint, LR_CRASH_EVENT_BROKEN, NULL);
+    }
     schedule_check(engine, target, now);
     return true;
 }
@@ -239,6 +285,7 @@
     }
     query->n_broken++;
     mark_suspect(query);
+    LrQuarantine_Suspect(engine->quarantine, query->fingerprint, now);
     return status;
 }
 
@@ -284,15 +331,20 @@
 confirm_crash(LrEngine *engine, const LrTarget *target,
               const LrBrokenRequest *broken, LrTime now)
 {
+    unsigned n_before =
+        LrQuarantine_CountCrashes(engine->quarantine, broken->fingerprint);
     LrRequestStatus status =
         LrQuarantine_RecordConfirmed(engine->quarantine, broken->fingerprint,
                                      broken->sent_at, broken->at, now);
+    unsigned n_crashes =
+        LrQuarantine_CountCrashes(engine->quarantine, broken->fingerprint);
+    if (n_crashes > n_before) {
+        add_report(engine, broken->fingerprint, LR_CRASH_EVENT_CRASH, target);
+    }
     LrCounters_Add(engine->config.counters, LR_COUNT_CRASHES, 1);
     LR_LOG(engine->config.log, LOG_NOTICE, "crash_confirmed",
            LrLog_Hex("fingerprint", broken->fingerprint),
-           LrLog_Str("target", target->name),
-           LrLog_Int("crashes", (int64_t)LrQuarantine_CountCrashes(
-                                    engine->quarantine, broken->fingerprint)),
+           LrLog_Str("target", target->name), LrLog_Int("crashes", n_crashes),
            LrLog_CStr("status", LrRequestStatus_Names[status]),
            LrLog_Int("ms", (now - broken->at) / LR_MILLISECOND));
 }
@@ -317,6 +369,9 @@
         if (down && recent) {
             confirm_crash(engine, target, &broken[i], now);
         }
+        else if (!down) {
+            LrQuarantine_Unsuspect(engine->quarantine, broken[i].fingerprint);
+        }
     }
     for (unsigned i = 0; i < n; i++) {
         reconsider(engine, broken[i].fingerprint, now);
@@ -362,10 +417,56 @@
             forget_broken(part->tried[j], query->fingerprint);
         }
     }
-    if (query->suspect) {
-        LrQuarantine_Clear(engine->quarantine, query->fingerprint);
-        clear_suspect(query, now);
+    if (!query->suspect) {
+        return;
     }
+    if (LrQuarantine_CountCrashes(engine->quarantine, query->fingerprint) >
+        0) {
+        add_report(engine, query->fingerprint, LR_CRASH_EVENT_ANSWERED, NULL);
+    }
+    LrQuarantine_Clear(engine->quarantine, query->fingerprint);
+    clear_suspect(query, now);
+}
+
+/* A peer found the target down: what it resets from now on is not caused by
+ * the requests that it resets. */
+static void
+mark_down(LrEngine *engine, LrStr key, LrTime now)
+{
+    LrTarget *target = LrTargets_Lookup(engine->targets, key);
+    if (target && target->broken_at == 0) {
+        target->broken_at = now;
+        LrTargets_Eject(engine->targets, target, now);
+    }
+}
+
+void
+LrEngine_OnCrashReport(LrEngine *engine, LrTime now,
+                       const LrCrashReport *report)
+{
+    LrQuarantine *quarantine = engine->quarantine;
+    engine->now = now;
+    LrCounters_Add(engine->config.counters, LR_COUNT_CRASH_REPORTS, 1);
+    switch (report->event) {
+    case LR_CRASH_EVENT_BROKEN:
+        LrQuarantine_Suspect(quarantine, report->fingerprint, now);
+        break;
+    case LR_CRASH_EVENT_CRASH:
+        LrQuarantine_AddCrash(quarantine, report->fingerprint, now);
+        mark_down(engine, report->target, now);
+        break;
+    default:
+        LrQuarantine_Clear(quarantine, report->fingerprint);
+        break;
+    }
+    LR_LOG(engine->config.log, LOG_INFO, "crash_reported",
+           LrLog_Hex("fingerprint", report->fingerprint),
+           LrLog_CStr("what", LrCrashEvent_Names[report->event]),
+           LrLog_Str("target", report->target),
+           LrLog_Int("crashes", LrQuarantine_CountCrashes(
+                                    quarantine, report->fingerprint)));
+    reconsider(engine, report->fingerprint, now);
+    LrEngine_ServeDirty(engine, now);
 }
 
 void
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -169,6 +169,7 @@
     do {
         execute_actions(daemon);
     } while (LrRelay_Flush(daemon->relay));
+    LrFleet_SendCrashReports(daemon);
     set_timer(daemon);
 }
 
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -153,6 +153,8 @@
 /* Probes every daemon of this zone at once, so that all of them learn without
  * delay what the probes report. */
 void LrFleet_ProbeZone(LrDaemon *daemon);
+/* Tells peers what was learnt of requests that may crash targets. */
+void LrFleet_SendCrashReports(LrDaemon *daemon);
 /* Re-evaluates whether this daemon reads the configuration service. */
 void LrFleet_UpdateReaderRole(LrDaemon *daemon, LrTime now);
 struct json_t *LrFleet_Dump(const LrDaemon *daemon);
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -1,6 +1,6 @@
 /* Messages between the daemons of a fleet: dispatches incoming ones, and
- * propagates membership, the catalogue, quarantined requests, leaving targets
- * and rate limits of targets. */
+ * propagates membership, the catalogue, crashes and quarantined requests,
+ * leaving targets and rate limits of targets. */
 #include "daemon.h"
 
 #include <stdlib.h>
@@ -40,6 +40,7 @@
     [LR_MSG_FORWARD] = &LrForwardMsg_Descriptor,
     [LR_MSG_FORWARD_ANSWER] = &LrForwardAnswerMsg_Descriptor,
     [LR_MSG_FORWARD_COMMAND] = &LrForwardCommandMsg_Descriptor,
+    [LR_MSG_CRASH_REPORT] = &LrCrashReportMsg_Descriptor,
 };
 
 typedef struct {
@@ -145,6 +146,84 @@
     }
 }
 
+static void
+on_crash_report(LrDaemon *daemon, const LrCrashReportMsg *message)
+{
+    g_autofree char *text = LrStr_Dup(message->fingerprint);
+    LrCrashReport report = {.event = message->event,
+                            .target = message->target};
+    if (g_ascii_string_to_unsigned(text, 16, 0, UINT64_MAX,
+                                   &report.fingerprint, NULL)) {
+        LrEngine_OnCrashReport(daemon->engine, LrClock_Now(), &report);
+    }
+}
+
+/* Peers that a crash is reported to. They are chosen by the request, so that
+ * the same ones count its crashes, whichever daemons saw them. */
+enum { MAX_REPORT_PEERS = 16 };
+
+typedef struct {
+    uint64_t weight;
+    const LrMember *member;
+} RankedPeer;
+
+static int
+by_weight(gconstpointer a, gconstpointer b)
+{
+    uint64_t left = ((const RankedPeer *)a)->weight;
+    uint64_t right = ((const RankedPeer *)b)->weight;
+    return (left < right) - (left > right);
+}
+
+/* Ranks the other daemons for a request, by rendezvous hashing. */
+static GArray *
+rank_peers(const LrDaemon *daemon, uint64_t fingerprint)
+{
+    GArray *peers = g_array_new(FALSE, FALSE, sizeof(RankedPeer));
+    for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
+        const LrMember *member = LrMembers_Get(daemon->members, i);
+        if (member->state == LR_MEMBER_ALIVE &&
+            !LrStr_Equal(member->name, daemon->settings.name)) {
+            RankedPeer peer = {
+                .weight = LrStr_Hash(member->name, fingerprint),
+                .member = member,
+            };
+            g_array_append_val(peers, peer);
+        }
+    }
+    g_array_sort(peers, by_weight);
+    return peers;
+}
+
+static void
+send_crash_report(void *data, const LrCrashReport *report)
+{
+    LrDaemon *daemon = data;
+    char text[20];
+    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+               report->fingerprint);
+    LrCrashReportMsg message = {
+        .fingerprint = LrStr_FromC(text),
+        .event = report->event,
+        .target = report->target,
+    };
+    GArray *peers = rank_peers(daemon, report->fingerprint);
+    for (guint i = 0; i < peers->len && i < MAX_REPORT_PEERS; i++) {
+        LrPeers_Send(daemon->peers,
+                     g_array_index(peers, RankedPeer, i).member->address,
+                     &LrCrashReportMsg_Descriptor, &message);
+    }
+    g_array_unref(peers);
+}
+
+void
+LrFleet_SendCrashReports(LrDaemon *daemon)
+{
+    if (!daemon->fleet_stopped) {
+        LrEngine_EachCrashReport(daemon->engine, send_crash_report, daemon);
+    }
+}
+
 static void
 apply_leaving(LrDaemon *daemon, const LrProbeMsg *message, LrTime now)
 {
@@ -386,6 +465,9 @@
     case LR_MSG_HANDOFF_NOTICE:
         LrHandoff_OnNotice(daemon->handoff, message);
         break;
+    case LR_MSG_CRASH_REPORT:
+        on_crash_report(daemon, message);
+        break;
     case LR_MSG_LOAN_REQUEST:
         on_borrow(daemon, message);
         break;
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -48,6 +48,13 @@
     NULL,
 };
 
+const char *const LrCrashEvent_Names[] = {
+    "broken",
+    "crash",
+    "answered",
+    NULL,
+};
+
 const char *const LrReplyStatus_Names[] = {
     "ok",
     "shed",
@@ -1875,6 +1882,33 @@
     .n_fields = G_N_ELEMENTS(LrForwardCommandMsg_Fields),
 };
 
+static const LrFieldDescriptor LrCrashReportMsg_Fields[] = {
+    {.name = "fingerprint",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrCrashReportMsg, fingerprint),
+     .hint = "16 hexadecimal digits",
+     .required = true},
+    {.name = "event",
+     .kind = LR_FIELD_ENUM,
+     .offset = offsetof(LrCrashReportMsg, event),
+     .hint = "what happened to an attempt of it",
+     .choices = LrCrashEvent_Names,
+     .fallback = 0},
+    {.name = "target",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrCrashReportMsg, target),
+     .hint = "name of the target that is down, or its IP:port where it has no identity",
+     .fallback_str = ""},
+};
+
+const LrRecordDescriptor LrCrashReportMsg_Descriptor = {
+    .name = "LrCrashReportMsg",
+    .size = sizeof(LrCrashReportMsg),
+    .tag = 18,
+    .fields = LrCrashReportMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrCrashReportMsg_Fields),
+};
+
 const char *const LrCounterId_Names[] = {
     "queries",
     "complete",
@@ -1893,6 +1927,7 @@
     "restarts",
     "quarantined",
     "crashes",
+    "crash_reports",
     "crash_checks",
     "ejections",
     "panics",
@@ -1951,6 +1986,7 @@
     "Queries restarted on another index version.",
     "Requests refused by quarantine.",
     "Crashes of targets that were confirmed and held against a request.",
+    "Reports of other daemons of requests that may crash targets.",
     "Checks of targets whose connection broke.",
     "Outlier ejections of targets.",
     "Routing decisions taken in panic mode.",
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -57,6 +57,15 @@
 } LrReason;
 extern const char *const LrReason_Names[];
 
+/* What happened to an attempt of a request that may crash targets. */
+typedef enum {
+    LR_CRASH_EVENT_BROKEN,
+    LR_CRASH_EVENT_CRASH,
+    LR_CRASH_EVENT_ANSWERED,
+    LR_CRASH_EVENT_COUNT
+} LrCrashEvent;
+extern const char *const LrCrashEvent_Names[];
+
 /* How one attempt at a target ended. */
 typedef enum {
     LR_REPLY_OK,
@@ -792,6 +801,18 @@
 extern const LrRecordDescriptor LrForwardCommandMsg_Descriptor;
 #define LR_MSG_FORWARD_COMMAND 17
 
+/* What a daemon has learnt of a request that may crash targets. */
+typedef struct {
+    /* 16 hexadecimal digits */
+    LrStr fingerprint;
+    /* what happened to an attempt of it */
+    LrCrashEvent event;
+    /* name of the target that is down, or its IP:port where it has no identity */
+    LrStr target;
+} LrCrashReportMsg;
+extern const LrRecordDescriptor LrCrashReportMsg_Descriptor;
+#define LR_MSG_CRASH_REPORT 18
+
 /* Counters of a daemon. */
 typedef enum {
     LR_COUNT_QUERIES,
@@ -811,6 +832,7 @@
     LR_COUNT_RESTARTS,
     LR_COUNT_QUARANTINED,
     LR_COUNT_CRASHES,
+    LR_COUNT_CRASH_REPORTS,
     LR_COUNT_CRASH_CHECKS,
     LR_COUNT_EJECTIONS,
     LR_COUNT_PANICS,
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -965,6 +965,15 @@
                                              uint64_t fingerprint,
                                              LrTime sent_at, LrTime broken_at,
                                              LrTime now);
+/* Counts a crash that another daemon confirmed. */
+LrRequestStatus LrQuarantine_AddCrash(LrQuarantine *quarantine,
+                                      uint64_t fingerprint, LrTime now);
+/* Makes the request a suspect for a moment, until its attempt's target is
+ * checked. */
+void LrQuarantine_Suspect(LrQuarantine *quarantine, uint64_t fingerprint,
+                          LrTime now);
+/* The target is up: ends that. */
+void LrQuarantine_Unsuspect(LrQuarantine *quarantine, uint64_t fingerprint);
 unsigned LrQuarantine_CountCrashes(const LrQuarantine *quarantine,
                                    uint64_t fingerprint);
 /* A target replied to the request: it is no longer a suspect. */
@@ -1148,6 +1157,15 @@
     LrLog *log;
 } LrEngineConfig;
 
+/* What the daemon has learnt of a request that may crash targets, for its
+ * peers. */
+typedef struct {
+    uint64_t fingerprint;
+    LrCrashEvent event;
+    /* Key of the target that is down, with event crash. */
+    LrStr target;
+} LrCrashReport;
+
 typedef struct {
     LrStr entry;
     GBytes *body;
@@ -1277,6 +1295,15 @@
 /* Result of a check of the target with that key. */
 void LrEngine_OnCheck(LrEngine *engine, LrTime now, LrStr key,
                       LrCheckResult result);
+/* Calls func for each report since the last call; it is valid until func
+ * returns. */
+void LrEngine_EachCrashReport(LrEngine *engine,
+                              void (*func)(void *data,
+                                           const LrCrashReport *report),
+                              void *data);
+/* Takes the report of another daemon. */
+void LrEngine_OnCrashReport(LrEngine *engine, LrTime now,
+                            const LrCrashReport *report);
 /* Fires timers and detects late wake-ups; to be called first after every
  * wake-up. */
 void LrEngine_Advance(LrEngine *engine, LrTime now);
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -127,6 +127,8 @@
     GArray *due_checks;
     unsigned n_checks;
     LrTimer check_timer;
+    /* Not yet passed on to peers; owns the names of targets. */
+    GArray *crash_reports;
     LrTokenBucket hedge_bucket;
     LrTokenBucket retry_bucket;
     struct LrQueryList queries;
--- a/liblavenderrail/quarantine.c
+++ b/liblavenderrail/quarantine.c
@@ -6,6 +6,8 @@
 #include "lavenderrail.h"
 
 #define SUSPECT_TTL (60 * LR_SECOND)
+/* A request whose crash has not been confirmed by then is clear again. */
+#define UNCONFIRMED_TTL LR_SECOND
 #define QUARANTINE_TTL (300 * LR_SECOND)
 
 enum {
@@ -188,6 +190,43 @@
     return request_status(record);
 }
 
+LrRequestStatus
+LrQuarantine_AddCrash(LrQuarantine *quarantine, uint64_t fingerprint,
+                      LrTime now)
+{
+    CrashRecord *record = lookup_record(quarantine, fingerprint, now);
+    if (!record) {
+        record = add_record(quarantine, fingerprint, now);
+    }
+    if (record && !record->quarantined) {
+        count_confirmed(record, now);
+    }
+    return request_status(record);
+}
+
+void
+LrQuarantine_Suspect(LrQuarantine *quarantine, uint64_t fingerprint,
+                     LrTime now)
+{
+    CrashRecord *record = lookup_record(quarantine, fingerprint, now);
+    if (!record) {
+        record = add_record(quarantine, fingerprint, now);
+    }
+    if (record) {
+        record->expires_at = MAX(record->expires_at, now + UNCONFIRMED_TTL);
+    }
+}
+
+void
+LrQuarantine_Unsuspect(LrQuarantine *quarantine, uint64_t fingerprint)
+{
+    const CrashRecord *record =
+        g_hash_table_lookup(quarantine->records, &fingerprint);
+    if (record && record->n_crashes == 0) {
+        g_hash_table_remove(quarantine->records, &fingerprint);
+    }
+}
+
 unsigned
 LrQuarantine_CountCrashes(const LrQuarantine *quarantine, uint64_t fingerprint)
 {
--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr int N_DAEMONS = 6;
 // Three crashes show that a request is the cause; three more retries may
 // follow.
 constexpr size_t MAX_CRASHES = 6;
@@ -23,7 +22,8 @@
 // Requests that crash nothing, from several callers to all daemons.
 class Innocents {
   public:
-    explicit Innocents(const RoutedFleet &to) : fleet(to)
+    explicit Innocents(const RoutedFleet &to)
+        : fleet(to), n_daemons((int)to.daemons.size() - 1)
     {
         for (int i = 0; i < N_CALLERS; i++) {
             callers.emplace_back([this, i] { call(i); });
@@ -56,13 +56,14 @@
             std::string id = std::to_string(caller) + "-" + std::to_string(i);
             std::string path = (i % 3 ? "/c/" : "/w/") + id;
             n_sent++;
-            n_served += fleet.ask(1 + (caller + i) % N_DAEMONS, path, "i" + id)
+            n_served += fleet.ask(1 + (caller + i) % n_daemons, path, "i" + id)
                             .status == 200;
             std::this_thread::sleep_for(std::chrono::milliseconds(30));
         }
     }
 
     const RoutedFleet &fleet;
+    int n_daemons;
     std::atomic<bool> stopping = false;
     std::vector<std::thread> callers;
 };
@@ -72,49 +73,68 @@
 class CrashingRequests : public testing::Test {
   protected:
     void
-    make(int base, int n_zones = 3)
+    make(int base, int daemons = 6, int n_zones = 3)
     {
-        fleet = std::make_unique<RoutedFleet>(base, N_DAEMONS, n_zones);
-        fleet->server("c3", "c", 7);
-        fleet->server("c4", "c", 8);
-        fleet->server("c5", "c", 9);
-        fleet->server("a3", "a", 10);
-        fleet->server("a4", "a", 11);
-        fleet->server("b3", "b", 12);
-        fleet->server("b4", "b", 13);
+        n_daemons = daemons;
+        fleet = std::make_unique<RoutedFleet>(base, n_daemons, n_zones);
+        for (const char *service : {"a", "b", "c"}) {
+            for (int i = 3; i <= 5; i++) {
+                fleet->server(service + std::to_string(i), service,
+                              n_searchers++);
+            }
+        }
         fleet->setup();
-        for (int i = 1; i <= N_DAEMONS; i++) {
+        for (int i = 1; i <= n_daemons; i++) {
             ASSERT_TRUE(eventually([&] { return fleet->serves(i); }));
         }
         innocents = std::make_unique<Innocents>(*fleet);
         std::this_thread::sleep_for(std::chrono::milliseconds(500));
     }
+    void
+    ask(int daemon, const std::string &path)
+    {
+        fleet->ask(daemon, path, "crash" + std::to_string(n_asked++));
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(100 + random() % 400));
+    }
     // Sends the request to any daemon, again and again.
     void
-    repeat(const std::string &path, int n_times, uint32_t seed)
+    repeat(const std::string &path, int n_times)
     {
-        std::mt19937 random(seed);
         for (int i = 0; i < n_times; i++) {
-            fleet->ask(1 + (int)(random() % N_DAEMONS), path,
-                       "crash" + std::to_string(n_asked++));
-            std::this_thread::sleep_for(
-                std::chrono::milliseconds(100 + random() % 400));
+            ask(1 + (int)(random() % (uint32_t)n_daemons), path);
         }
     }
+    // Sends it to each daemon in turn.
+    void
+    repeat_in_turn(const std::string &path, int n_times)
+    {
+        for (int i = 0; i < n_times; i++) {
+            ask(1 + i % n_daemons, path);
+        }
+    }
+    size_t
+    crashes(const std::string &path) const
+    {
+        return fleet->run_times(path).size();
+    }
     void
     expect_refused_by_all(const std::string &path)
     {
-        size_t n_before = fleet->run_times(path).size();
-        for (int i = 1; i <= N_DAEMONS; i++) {
+        size_t n_before = crashes(path);
+        for (int i = 1; i <= n_daemons; i++) {
             EXPECT_EQ(fleet->ask(i, path, "last" + std::to_string(i)).status,
                       503)
                 << i;
         }
-        EXPECT_EQ(fleet->run_times(path).size(), n_before);
+        EXPECT_EQ(crashes(path), n_before);
     }
 
+    int n_daemons = 0;
+    int n_searchers = 7;
     std::unique_ptr<RoutedFleet> fleet;
     std::unique_ptr<Innocents> innocents;
+    std::mt19937 random{1};
     int n_asked = 0;
 };
 
@@ -122,8 +142,8 @@
 {
     ASSERT_NO_FATAL_FAILURE(make(29100));
     fleet->control(down_for("/c/crash", false));
-    repeat("/c/crash", 30, 1);
-    EXPECT_LE(fleet->run_times("/c/crash").size(), MAX_CRASHES);
+    repeat("/c/crash", 30);
+    EXPECT_LE(crashes("/c/crash"), MAX_CRASHES);
     expect_refused_by_all("/c/crash");
 }
 
@@ -131,7 +151,44 @@
 {
     ASSERT_NO_FATAL_FAILURE(make(29300));
     fleet->control(down_for("/c/crash", true));
-    repeat("/c/crash", 30, 2);
-    EXPECT_LE(fleet->run_times("/c/crash").size(), MAX_CRASHES);
+    repeat("/c/crash", 30);
+    EXPECT_LE(crashes("/c/crash"), MAX_CRASHES);
+    expect_refused_by_all("/c/crash");
+}
+
+TEST_F(CrashingRequests, AreCountedOverAllDaemons)
+{
+    ASSERT_NO_FATAL_FAILURE(make(29500));
+    fleet->control(down_for("/c/crash", false));
+    repeat_in_turn("/c/crash", 3 * n_daemons);
+    EXPECT_LE(crashes("/c/crash"), MAX_CRASHES);
     expect_refused_by_all("/c/crash");
 }
+
+TEST_F(CrashingRequests, OverManyShardsAreRefusedByAllDaemons)
+{
+    ASSERT_NO_FATAL_FAILURE(make(29700));
+    fleet->control(down_for("/w/crash", false));
+    repeat_in_turn("/w/crash", 3 * n_daemons);
+    EXPECT_LE(crashes("/w/crash"), MAX_CRASHES);
+    expect_refused_by_all("/w/crash");
+}
+
+TEST_F(CrashingRequests, ThatAreForwardedAreRefusedByAllDaemons)
+{
+    ASSERT_NO_FATAL_FAILURE(make(29900, 9, 1));
+    fleet->control(down_for("/w/crash", false));
+    repeat_in_turn("/w/crash", 3 * n_daemons);
+    EXPECT_LE(crashes("/w/crash"), MAX_CRASHES);
+    expect_refused_by_all("/w/crash");
+}
+
+TEST_F(CrashingRequests, OtherRequestsAreServedMeanwhile)
+{
+    ASSERT_NO_FATAL_FAILURE(make(30100));
+    fleet->control(down_for("/c/crash", false));
+    repeat_in_turn("/c/crash", 3 * n_daemons);
+    innocents->stop();
+    EXPECT_GE(innocents->n_served, 0.99 * innocents->n_sent)
+        << innocents->n_served << " of " << innocents->n_sent;
+}
