fleet, quarantine: every quarantined request is told to peers

Cause: probes carried the first four quarantined requests of the table, always the same ones, so that a daemon that was restarted never learnt of the others; and a report that met a full table was lost, since the expired records were looked for at time 0.

Change: the rows of a probe go on where those of the last one ended; LrQuarantine_Add is told the time.

--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -43,10 +43,14 @@
     [LR_MSG_CRASH_REPORT] = &LrCrashReportMsg_Descriptor,
 };
 
+/* Some of the quarantined requests, in turn. */
 typedef struct {
     LrQuarantinedMsg rows[MAX_QUARANTINED_PER_PROBE];
     char texts[MAX_QUARANTINED_PER_PROBE][20];
     size_t n;
+    /* Requests left out before the first row, and requests seen so far. */
+    size_t n_skipped;
+    size_t n_seen;
     LrTime now;
 } QuarantinedRows;
 
@@ -55,8 +59,12 @@
                     LrTime until)
 {
     QuarantinedRows *quarantined = data;
-    if (!condemned || quarantined->n == MAX_QUARANTINED_PER_PROBE ||
-        until <= quarantined->now) {
+    if (!condemned || until <= quarantined->now) {
+        return;
+    }
+    quarantined->n_seen++;
+    if (quarantined->n_seen <= quarantined->n_skipped ||
+        quarantined->n == MAX_QUARANTINED_PER_PROBE) {
         return;
     }
     char *text = quarantined->texts[quarantined->n];
@@ -112,9 +120,14 @@
 send_probe(void *data, LrStr address, const LrProbeMsg *message)
 {
     LrDaemon *daemon = data;
-    QuarantinedRows quarantined = {.now = LrClock_Now()};
+    QuarantinedRows quarantined = {.now = LrClock_Now(),
+                                   .n_skipped = daemon->next_quarantined};
     LrQuarantine_Each(LrEngine_Quarantine(daemon->engine), collect_quarantined,
                       &quarantined);
+    daemon->next_quarantined += quarantined.n;
+    if (daemon->next_quarantined >= quarantined.n_seen) {
+        daemon->next_quarantined = 0;
+    }
     LrProbeMsg probe = *message;
     probe.heard_ms = config_age_ms(daemon, quarantined.now);
     probe.isolated = daemon->isolated;
@@ -141,7 +154,7 @@
         if (g_ascii_string_to_unsigned(text, 16, 0, UINT64_MAX, &fingerprint,
                                        NULL)) {
             LrQuarantine_Add(LrEngine_Quarantine(daemon->engine), fingerprint,
-                             now + row->left_ms * LR_MILLISECOND);
+                             now + row->left_ms * LR_MILLISECOND, now);
         }
     }
 }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -980,7 +980,7 @@
 void LrQuarantine_Clear(LrQuarantine *quarantine, uint64_t fingerprint);
 /* Quarantines a request until a time, on the report of another daemon. */
 void LrQuarantine_Add(LrQuarantine *quarantine, uint64_t fingerprint,
-                      LrTime until);
+                      LrTime until, LrTime now);
 size_t LrQuarantine_Count(const LrQuarantine *quarantine);
 void LrQuarantine_Each(LrQuarantine *quarantine,
                        void (*func)(void *data, uint64_t fingerprint,
--- a/liblavenderrail/quarantine.c
+++ b/liblavenderrail/quarantine.c
@@ -246,12 +246,13 @@
 }
 
 void
-LrQuarantine_Add(LrQuarantine *quarantine, uint64_t fingerprint, LrTime until)
+LrQuarantine_Add(LrQuarantine *quarantine, uint64_t fingerprint, LrTime until,
+                 LrTime now)
 {
     CrashRecord *record =
         g_hash_table_lookup(quarantine->records, &fingerprint);
     if (!record) {
-        record = add_record(quarantine, fingerprint, 0);
+        record = add_record(quarantine, fingerprint, now);
     }
     if (record) {
         record->quarantined = true;
--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -192,3 +192,30 @@
     EXPECT_GE(innocents->n_served, 0.99 * innocents->n_sent)
         << innocents->n_served << " of " << innocents->n_sent;
 }
+
+TEST_F(CrashingRequests, ARestartedDaemonLearnsOfThem)
+{
+    ASSERT_NO_FATAL_FAILURE(make(30300));
+    // More than one probe tells of.
+    constexpr int N_PATHS = 6;
+    for (int i = 0; i < N_PATHS; i++) {
+        std::string path = "/c/crash" + std::to_string(i);
+        fleet->control("crash?target=" + path + "&for_ms=1000");
+        repeat_in_turn(path, n_daemons);
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    }
+    fleet->daemons[2]->signal(SIGKILL);
+    fleet->daemons[2]->wait();
+    fleet->start(2);
+    ASSERT_TRUE(eventually([&] { return fleet->serves(2); }));
+    // The platform's stability window.
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    for (int i = 0; i < N_PATHS; i++) {
+        EXPECT_EQ(fleet
+                      ->ask(2, "/c/crash" + std::to_string(i),
+                            "again" + std::to_string(i))
+                      .status,
+                  503)
+            << i;
+    }
+}
--- a/tests/test_quarantine.cc
+++ b/tests/test_quarantine.cc
@@ -79,9 +79,62 @@
 
 TEST_F(QuarantineTest, PeerReportQuarantines)
 {
-    LrQuarantine_Add(quarantine, 7, 9 * LR_SECOND);
+    LrQuarantine_Add(quarantine, 7, 9 * LR_SECOND, LR_SECOND);
     EXPECT_EQ(LrQuarantine_Check(quarantine, 7, 8 * LR_SECOND),
               LR_REQUEST_QUARANTINED);
     EXPECT_EQ(LrQuarantine_Check(quarantine, 7, 10 * LR_SECOND),
               LR_REQUEST_CLEAR);
 }
+
+TEST_F(QuarantineTest, AFullTableMakesRoomForAPeersReport)
+{
+    constexpr uint64_t MAX_RECORDS = 4096;
+    for (uint64_t i = 0; i < MAX_RECORDS; i++) {
+        LrQuarantine_RecordCrash(quarantine, 100 + i, 10,
+                                 LR_CRASH_WITH_SUSPECTS, LR_SECOND);
+    }
+    LrTime later = 100 * LR_SECOND;
+    LrQuarantine_Add(quarantine, 7, later + LR_SECOND, later);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, 7, later),
+              LR_REQUEST_QUARANTINED);
+}
+
+TEST_F(QuarantineTest, ConfirmedCrashesAtTheSameTimeCountOnce)
+{
+    for (LrTime end = 5; end < 9; end++) {
+        EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, 1, 1, end, 10),
+                  LR_REQUEST_SUSPECT);
+    }
+    EXPECT_EQ(LrQuarantine_CountCrashes(quarantine, 1), 1u);
+    EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, 1, 20, 25, 30),
+              LR_REQUEST_SUSPECT);
+    EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, 1, 12, 15, 30),
+              LR_REQUEST_QUARANTINED)
+        << "whichever is confirmed first";
+}
+
+TEST_F(QuarantineTest, CrashesOfOtherDaemonsCount)
+{
+    LrQuarantine_RecordConfirmed(quarantine, 1, 1, 5, 10);
+    LrQuarantine_AddCrash(quarantine, 1, 10);
+    EXPECT_EQ(LrQuarantine_AddCrash(quarantine, 1, 10),
+              LR_REQUEST_QUARANTINED);
+}
+
+TEST_F(QuarantineTest, AnUnconfirmedSuspectIsClearAgainSoon)
+{
+    LrQuarantine_Suspect(quarantine, 1, LR_SECOND);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, 1, LR_SECOND),
+              LR_REQUEST_SUSPECT);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, 1, 3 * LR_SECOND),
+              LR_REQUEST_CLEAR);
+    LrQuarantine_Suspect(quarantine, 2, LR_SECOND);
+    LrQuarantine_Unsuspect(quarantine, 2);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, 2, LR_SECOND), LR_REQUEST_CLEAR);
+    LrQuarantine_RecordConfirmed(quarantine, 3, 1, 5, LR_SECOND);
+    LrQuarantine_Suspect(quarantine, 3, LR_SECOND);
+    LrQuarantine_Unsuspect(quarantine, 3);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, 3, 3 * LR_SECOND),
+              LR_REQUEST_SUSPECT)
+        << "a confirmed crash stays";
+}
