--- a/liblavenderrail/attempt.c
+++ b/liblavenderrail/attempt.c
@@ -86,7 +86,7 @@
 LrAttempt_MarkCancelled(LrAttempt *attempt, LrTime median_latency)
 {
     if (attempt->part->query->harmless) {
-        attempt->fingerprint = 0;
+        attempt->fingerprint = (LrFingerprint){.content = 0};
     }
     remove_from_part(attempt);
     attempt->median_latency = median_latency;
--- a/liblavenderrail/caller_server.c
+++ b/liblavenderrail/caller_server.c
@@ -2,6 +2,7 @@
 #include "caller_server.h"
 
 #include <errno.h>
+#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -41,6 +42,7 @@
 struct Conn {
     LrCallerServer *server;
     int fd;
+    struct sockaddr_storage from;
     /* The struct is freed at the next event of any connection. */
     bool closed;
     ConnState state;
@@ -371,12 +373,13 @@
 }
 
 static void
-add_conn(LrCallerServer *server, int fd)
+add_conn(LrCallerServer *server, int fd, const struct sockaddr_storage *from)
 {
     LrSocket_DisableNagle(fd);
     Conn *conn = g_new0(Conn, 1);
     conn->server = server;
     conn->fd = fd;
+    conn->from = *from;
     conn->message = LrHttpMessage_NewRequest();
     LrHttpMessage_SetLimits(conn->message, server->limits.max_head_bytes,
                             server->limits.max_body_bytes);
@@ -397,8 +400,10 @@
     (void)events;
     LrCallerServer *server = io->data;
     for (int i = 0; i < MAX_ACCEPTS_PER_EVENT; i++) {
-        int fd = accept4(server->listener, NULL, NULL,
-                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+        struct sockaddr_storage from = {.ss_family = AF_UNSPEC};
+        socklen_t from_len = sizeof(from);
+        int fd = accept4(server->listener, (struct sockaddr *)(void *)&from,
+                         &from_len, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
             return;
         }
@@ -409,7 +414,7 @@
             close(fd);
             continue;
         }
-        add_conn(server, fd);
+        add_conn(server, fd, &from);
     }
 }
 
@@ -542,6 +547,23 @@
     return LrHttpMessage_TakeBody(exchange->conn->message);
 }
 
+LrStr
+LrCallerExchange_CallerAddress(const LrCallerExchange *exchange)
+{
+    const struct sockaddr_storage *from = &exchange->conn->from;
+    if (from->ss_family == AF_INET) {
+        const struct sockaddr_in *v4 = (const void *)from;
+        return (LrStr){.ptr = (const void *)&v4->sin_addr,
+                       .len = sizeof(v4->sin_addr)};
+    }
+    if (from->ss_family == AF_INET6) {
+        const struct sockaddr_in6 *v6 = (const void *)from;
+        return (LrStr){.ptr = (const void *)&v6->sin6_addr,
+                       .len = sizeof(v6->sin6_addr)};
+    }
+    return LrStr_FromC("");
+}
+
 LrTime
 LrCallerExchange_ArrivedAt(const LrCallerExchange *exchange)
 {
--- a/liblavenderrail/caller_server.h
+++ b/liblavenderrail/caller_server.h
@@ -66,6 +66,9 @@
 LrCallerExchange_Message(const LrCallerExchange *exchange);
 /* Returns the request's body and leaves the request without one. */
 GBytes *LrCallerExchange_TakeBody(LrCallerExchange *exchange);
+/* The caller's IP address, without the port, as bytes in network order; empty
+ * when it is not known. */
+LrStr LrCallerExchange_CallerAddress(const LrCallerExchange *exchange);
 LrTime LrCallerExchange_ArrivedAt(const LrCallerExchange *exchange);
 void LrCallerExchange_SetData(LrCallerExchange *exchange, void *data);
 void *LrCallerExchange_Data(const LrCallerExchange *exchange);
--- a/liblavenderrail/crash.c
+++ b/liblavenderrail/crash.c
@@ -44,12 +44,12 @@
 }
 
 static void
-add_report(LrEngine *engine, uint64_t fingerprint, LrCrashEvent event,
+add_report(LrEngine *engine, LrFingerprint fingerprint, LrCrashEvent event,
            const LrTarget *target)
 {
     if (engine->crash_reports->len == MAX_REPORTS) {
         LR_LOG(engine->config.log, LOG_WARNING, "crash_report_dropped",
-               LrLog_Hex("fingerprint", fingerprint));
+               LrLog_Hex("fingerprint", fingerprint.content));
         return;
     }
     LrCrashReport report = {.fingerprint = fingerprint, .event = event};
@@ -107,12 +107,12 @@
 }
 
 static void
-mark_suspects(LrEngine *engine, uint64_t fingerprint)
+mark_suspects(LrEngine *engine, LrFingerprint fingerprint)
 {
     LrQuery *query;
     TAILQ_FOREACH(query, &engine->queries, of_engine)
     {
-        if (query->fingerprint == fingerprint) {
+        if (query->fingerprint.content == fingerprint.content) {
             mark_suspect(query);
         }
     }
@@ -140,7 +140,7 @@
 {
     LR_LOG(engine->config.log, LOG_WARNING, "request_quarantined",
            LrLog_Str("entry", query->entry->spec->name),
-           LrLog_Hex("fingerprint", query->fingerprint));
+           LrLog_Hex("fingerprint", query->fingerprint.content));
     for (size_t i = 0; i < query->n_parts; i++) {
         LrGather_SetMissing(&query->parts[i], LR_REASON_QUARANTINED);
     }
@@ -172,7 +172,7 @@
 record_unconfirmed(LrEngine *engine, const LrAttempt *attempt, LrTime now)
 {
     LrQueryPart *part = attempt->part;
-    uint64_t fingerprint = part->query->fingerprint;
+    LrFingerprint fingerprint = part->query->fingerprint;
     LrCrashContext context = crash_context(attempt, attempt->target, now);
     part->n_crashes++;
     LrRequestStatus status = LrQuarantine_RecordCrash(
@@ -242,7 +242,8 @@
 keep_unconfirmed(LrEngine *engine, const LrAttempt *attempt, LrTime now)
 {
     LrTarget *target = attempt->target;
-    if (attempt->fingerprint == 0 || was_down(target, attempt->sent_at, now)) {
+    if (attempt->fingerprint.content == 0 ||
+        was_down(target, attempt->sent_at, now)) {
         return false;
     }
     if (target->broken_at == 0 ||
@@ -250,7 +251,7 @@
         target->broken_at = now;
     }
     LR_LOG(engine->config.log, LOG_NOTICE, "crash_unconfirmed",
-           LrLog_Hex("fingerprint", attempt->fingerprint),
+           LrLog_Hex("fingerprint", attempt->fingerprint.content),
            LrLog_Str("target", target->name));
     if (target->n_broken_requests < LR_MAX_BROKEN_REQUESTS) {
         target->broken_requests[target->n_broken_requests++] =
@@ -300,18 +301,18 @@
 
 /* Applies what is now known of a request to the queries of it that run. */
 static void
-reconsider(LrEngine *engine, uint64_t fingerprint, LrTime now)
+reconsider(LrEngine *engine, LrFingerprint fingerprint, LrTime now)
 {
-    LrRequestStatus status =
-        LrQuarantine_Check(engine->quarantine, fingerprint, now);
     LrQuery *query;
     LrQuery *next;
     TAILQ_FOREACH_SAFE(query, &engine->queries, of_engine, next)
     {
-        if (query->fingerprint != fingerprint || query->queued ||
-            query->harmless) {
+        if (query->fingerprint.content != fingerprint.content ||
+            query->queued || query->harmless) {
             continue;
         }
+        LrRequestStatus status =
+            LrQuarantine_Check(engine->quarantine, query->fingerprint, now);
         query->hold_until = 0;
         if (status == LR_REQUEST_QUARANTINED) {
             LrCrash_QuarantineQuery(engine, query);
@@ -343,7 +344,7 @@
     }
     LrCounters_Add(engine->config.counters, LR_COUNT_CRASHES, 1);
     LR_LOG(engine->config.log, LOG_NOTICE, "crash_confirmed",
-           LrLog_Hex("fingerprint", broken->fingerprint),
+           LrLog_Hex("fingerprint", broken->fingerprint.content),
            LrLog_Str("target", target->name), LrLog_Int("crashes", n_crashes),
            LrLog_CStr("status", LrRequestStatus_Names[status]),
            LrLog_Int("ms", (now - broken->at) / LR_MILLISECOND));
@@ -393,12 +394,18 @@
     }
 }
 
+static bool
+is_same_request(LrFingerprint a, LrFingerprint b)
+{
+    return a.content == b.content && a.caller == b.caller;
+}
+
 static void
-forget_broken(LrTarget *target, uint64_t fingerprint)
+forget_broken(LrTarget *target, LrFingerprint fingerprint)
 {
     for (unsigned i = target->n_broken_requests; i > 0; i--) {
         LrBrokenRequest *broken = &target->broken_requests[i - 1];
-        if (broken->fingerprint == fingerprint) {
+        if (is_same_request(broken->fingerprint, fingerprint)) {
             *broken = target->broken_requests[--target->n_broken_requests];
         }
     }
@@ -460,7 +467,7 @@
         break;
     }
     LR_LOG(engine->config.log, LOG_INFO, "crash_reported",
-           LrLog_Hex("fingerprint", report->fingerprint),
+           LrLog_Hex("fingerprint", report->fingerprint.content),
            LrLog_CStr("what", LrCrashEvent_Names[report->event]),
            LrLog_Str("target", report->target),
            LrLog_Int("crashes", LrQuarantine_CountCrashes(
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -71,17 +71,18 @@
 }
 
 static void
-dump_quarantined(void *data, uint64_t fingerprint, bool condemned,
-                 LrTime until)
+dump_quarantined(void *data, const LrCrashRecord *record)
 {
     json_t *list = data;
     char text[24];
-    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", fingerprint);
-    LrTime left = until - LrClock_Now();
-    json_array_append_new(list,
-                          json_pack("{s:s, s:b, s:I}", "fingerprint", text,
-                                    "condemned", condemned, "left_ms",
-                                    (json_int_t)(left / LR_MILLISECOND)));
+    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+               record->fingerprint.content);
+    LrTime left = record->expires_at - LrClock_Now();
+    json_array_append_new(
+        list,
+        json_pack("{s:s, s:b, s:i, s:I}", "fingerprint", text, "condemned",
+                  record->quarantined, "crashes", (int)record->n_crashes,
+                  "left_ms", (json_int_t)(left / LR_MILLISECOND)));
 }
 
 static json_t *
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -46,7 +46,7 @@
 /* Some of the quarantined requests, in turn. */
 typedef struct {
     LrQuarantinedMsg rows[MAX_QUARANTINED_PER_PROBE];
-    char texts[MAX_QUARANTINED_PER_PROBE][20];
+    LrFingerprintText texts[MAX_QUARANTINED_PER_PROBE];
     size_t n;
     /* Requests left out before the first row, and requests seen so far. */
     size_t n_skipped;
@@ -55,11 +55,10 @@
 } QuarantinedRows;
 
 static void
-collect_quarantined(void *data, uint64_t fingerprint, bool condemned,
-                    LrTime until)
+collect_quarantined(void *data, const LrCrashRecord *record)
 {
     QuarantinedRows *quarantined = data;
-    if (!condemned || until <= quarantined->now) {
+    if (!record->quarantined || record->expires_at <= quarantined->now) {
         return;
     }
     quarantined->n_seen++;
@@ -67,12 +66,12 @@
         quarantined->n == MAX_QUARANTINED_PER_PROBE) {
         return;
     }
-    char *text = quarantined->texts[quarantined->n];
-    g_snprintf(text, sizeof(quarantined->texts[0]),
-               "%016" G_GINT64_MODIFIER "x", fingerprint);
+    LrFingerprintText *text = &quarantined->texts[quarantined->n];
+    LrFingerprint_ToText(record->fingerprint, text);
     quarantined->rows[quarantined->n] = (LrQuarantinedMsg){
-        .fingerprint = LrStr_FromC(text),
-        .left_ms = (until - quarantined->now) / LR_MILLISECOND,
+        .fingerprint = LrStr_FromC(text->content),
+        .caller = LrStr_FromC(text->caller),
+        .left_ms = (record->expires_at - quarantined->now) / LR_MILLISECOND,
     };
     quarantined->n++;
 }
@@ -149,10 +148,9 @@
 {
     for (size_t i = 0; i < message->n_condemned; i++) {
         const LrQuarantinedMsg *row = &message->condemned[i];
-        g_autofree char *text = LrStr_Dup(row->fingerprint);
-        uint64_t fingerprint;
-        if (g_ascii_string_to_unsigned(text, 16, 0, UINT64_MAX, &fingerprint,
-                                       NULL)) {
+        LrFingerprint fingerprint;
+        if (LrFingerprint_FromText(row->fingerprint, row->caller,
+                                   &fingerprint)) {
             LrQuarantine_Add(LrEngine_Quarantine(daemon->engine), fingerprint,
                              now + row->left_ms * LR_MILLISECOND, now);
         }
@@ -162,11 +160,10 @@
 static void
 on_crash_report(LrDaemon *daemon, const LrCrashReportMsg *message)
 {
-    g_autofree char *text = LrStr_Dup(message->fingerprint);
     LrCrashReport report = {.event = message->event,
                             .target = message->target};
-    if (g_ascii_string_to_unsigned(text, 16, 0, UINT64_MAX,
-                                   &report.fingerprint, NULL)) {
+    if (LrFingerprint_FromText(message->fingerprint, message->caller,
+                               &report.fingerprint)) {
         LrEngine_OnCrashReport(daemon->engine, LrClock_Now(), &report);
     }
 }
@@ -190,7 +187,7 @@
 
 /* Ranks the other daemons for a request, by rendezvous hashing. */
 static GArray *
-rank_peers(const LrDaemon *daemon, uint64_t fingerprint)
+rank_peers(const LrDaemon *daemon, uint64_t content)
 {
     GArray *peers = g_array_new(FALSE, FALSE, sizeof(RankedPeer));
     for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
@@ -198,7 +195,7 @@
         if (member->state == LR_MEMBER_ALIVE &&
             !LrStr_Equal(member->name, daemon->settings.name)) {
             RankedPeer peer = {
-                .weight = LrStr_Hash(member->name, fingerprint),
+                .weight = LrStr_Hash(member->name, content),
                 .member = member,
             };
             g_array_append_val(peers, peer);
@@ -212,15 +209,15 @@
 send_crash_report(void *data, const LrCrashReport *report)
 {
     LrDaemon *daemon = data;
-    char text[20];
-    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
-               report->fingerprint);
+    LrFingerprintText text;
+    LrFingerprint_ToText(report->fingerprint, &text);
     LrCrashReportMsg message = {
-        .fingerprint = LrStr_FromC(text),
+        .fingerprint = LrStr_FromC(text.content),
+        .caller = LrStr_FromC(text.caller),
         .event = report->event,
         .target = report->target,
     };
-    GArray *peers = rank_peers(daemon, report->fingerprint);
+    GArray *peers = rank_peers(daemon, report->fingerprint.content);
     for (guint i = 0; i < peers->len && i < MAX_REPORT_PEERS; i++) {
         LrPeers_Send(daemon->peers,
                      g_array_index(peers, RankedPeer, i).member->address,
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -213,6 +213,8 @@
     LrRoutes *routes = LrRouting_Routes(routed->catalogue);
     g_autofree char *digest =
         digest_text(routes, LrRoutes_FindByName(routes, routed->route->name));
+    LrFingerprintText fingerprint;
+    LrFingerprint_ToText(routed->fingerprint, &fingerprint);
     LrTime spent = now - routed->arrived_at + TRANSIT_TIME;
     LrTime left = time_left(routed, now);
     LrForwardMsg message = {
@@ -223,6 +225,8 @@
         .route_digest = LrStr_FromC(digest),
         .entry = routed->entry,
         .request_id = LrStr_FromC(routed->id),
+        .fingerprint = LrStr_FromC(fingerprint.content),
+        .caller = LrStr_FromC(fingerprint.caller),
         .target = LrStr_FromC(routed->request_target),
         .head = {.ptr = routed->head->str, .len = routed->head->len},
         .body = LrStr_FromBytes(routed->body),
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -64,6 +64,17 @@
                                                  : 0);
 }
 
+/* A request that comes again has the same host, request target and body, and
+ * comes from the same address. The service that it goes to is left out: one
+ * request may go to each of a route's backends. */
+static uint64_t
+hash_content(LrStr host, LrStr target, LrStr body)
+{
+    g_autofree char *lower = g_ascii_strdown(host.ptr, (gssize)host.len);
+    uint64_t hash = LrStr_Hash(LrStr_FromC(lower), 0);
+    return MAX(1, LrStr_Hash(body, LrStr_Hash(target, hash)));
+}
+
 static LrRoutedRequest *
 new_routed(LrGateway *gateway, const LrRoute *route, LrStr id, LrStr target)
 {
@@ -109,6 +120,13 @@
     routed->bodyless = LrStr_EqualC(LrHttpMessage_Method(message), "HEAD");
     gateway->contract->write_request_head(message, routed->head);
     routed->body = LrCallerExchange_TakeBody(exchange);
+    routed->fingerprint = (LrFingerprint){
+        .content = hash_content(LrHttpMessage_Header(message, "Host"),
+                                LrHttpMessage_RequestTarget(message),
+                                LrStr_FromBytes(routed->body)),
+        .caller =
+            MAX(1, LrStr_Hash(LrCallerExchange_CallerAddress(exchange), 0)),
+    };
     LrCallerExchange_SetData(exchange, routed);
     return routed;
 }
@@ -132,6 +150,14 @@
     if (message->body.len > 0) {
         routed->body = g_bytes_new(message->body.ptr, message->body.len);
     }
+    if (!LrFingerprint_FromText(message->fingerprint, message->caller,
+                                &routed->fingerprint)) {
+        /* Daemons of earlier versions send none. */
+        routed->fingerprint = (LrFingerprint){
+            .content =
+                hash_content(LrStr_FromC(""), message->target, message->body),
+        };
+    }
     return routed;
 }
 
@@ -143,7 +169,7 @@
     LrRequest request = {
         .entry = routed->entry,
         .body = routed->body,
-        .fingerprint_extra = LrStr_FromC(routed->request_target),
+        .fingerprint = routed->fingerprint,
         .elapsed = now - routed->arrived_at,
         .timeout = routed->deadline > 0 ? MAX(1, routed->deadline - now) : 0,
         .data = &routed->pending,
--- a/liblavenderrail/gateway_attempt.c
+++ b/liblavenderrail/gateway_attempt.c
@@ -20,7 +20,7 @@
     LrRoutedRequest *routed;
     LrUpstreamRequest *request;
     char *instance;
-    uint64_t fingerprint;
+    LrFingerprint fingerprint;
     LrTime sent_at;
     LrTime deadline;
     bool cancelled;
@@ -97,7 +97,7 @@
            LrLog_Int("attempt", (int64_t)attempt->id),
            LrLog_CStr("target", attempt->instance),
            LrLog_CStr("status", LrReplyStatus_Names[reply->status]),
-           LrLog_Hex("fingerprint", attempt->fingerprint),
+           LrLog_Hex("fingerprint", attempt->fingerprint.content),
            LrLog_Int("left_ms",
                      (attempt->deadline - LrClock_Now()) / LR_MILLISECOND));
 }
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -45,6 +45,7 @@
     LrStr entry;
     char *id;
     char *request_target;
+    LrFingerprint fingerprint;
     LrTime arrived_at;
     /* When the answer has to be sent; 0 when the caller gave no deadline. */
     LrTime deadline;
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -453,6 +453,8 @@
 typedef struct {
     /* 16 hexadecimal digits */
     LrStr fingerprint;
+    /* 16 hexadecimal digits; hash of who asks, 0 or empty for any caller */
+    LrStr caller;
     /* time left in quarantine, milliseconds */
     int64_t left_ms;
 } LrQuarantinedMsg;
@@ -753,6 +755,10 @@
     LrStr entry;
     /* request id given by the caller */
     LrStr request_id;
+    /* 16 hexadecimal digits; hash of what is asked */
+    LrStr fingerprint;
+    /* 16 hexadecimal digits; hash of who asks */
+    LrStr caller;
     /* request target (path and query); part of the request's quarantine fingerprint */
     LrStr target;
     /* request line and headers to send to targets */
@@ -805,6 +811,8 @@
 typedef struct {
     /* 16 hexadecimal digits */
     LrStr fingerprint;
+    /* 16 hexadecimal digits; hash of who asks, 0 or empty for any caller */
+    LrStr caller;
     /* what happened to an attempt of it */
     LrCrashEvent event;
     /* name of the target that is down, or its IP:port where it has no identity */
--- a/liblavenderrail/keyed_call.c
+++ b/liblavenderrail/keyed_call.c
@@ -146,7 +146,7 @@
     LrTime remaining = (key->expires_ms - LrClock_WallMs()) * LR_MILLISECOND;
     LrTime now = LrClock_Now();
     uint64_t fingerprint =
-        LrQuarantine_Fingerprint(entry, LrStr_FromBytes(body));
+        LrQuarantine_HashContent(entry, LrStr_FromBytes(body));
     LrLedgerRow *row;
     switch (LrLedger_Claim(daemon->ledger, text, fingerprint, now,
                            now + remaining + LEDGER_GRACE, &row)) {
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -512,10 +512,18 @@
 typedef struct LrQueryPart LrQueryPart;
 typedef struct LrQuery LrQuery;
 
+/* What makes two requests the same one. */
+typedef struct {
+    /* Hash of what is asked; 0 for none. */
+    uint64_t content;
+    /* Hash of who asks; 0 where callers are not told apart. */
+    uint64_t caller;
+} LrFingerprint;
+
 /* A request whose connection to a target broke. It counts as the cause of a
  * crash only if the target turns out to be down. */
 typedef struct {
-    uint64_t fingerprint;
+    LrFingerprint fingerprint;
     LrTime sent_at;
     LrTime at;
 } LrBrokenRequest;
@@ -930,6 +938,18 @@
 /* quarantine.c: requests that crash targets. */
 typedef struct LrQuarantine LrQuarantine;
 
+/* Its parts as 16 hexadecimal digits each. */
+typedef struct {
+    char content[20];
+    char caller[20];
+} LrFingerprintText;
+
+void LrFingerprint_ToText(LrFingerprint fingerprint, LrFingerprintText *text);
+/* False when a text is not a number; an empty caller is 0. */
+bool LrFingerprint_FromText(LrStr content, LrStr caller,
+                            LrFingerprint *fingerprint);
+uint64_t LrQuarantine_HashContent(LrStr entry, LrStr body);
+
 typedef enum {
     LR_REQUEST_CLEAR,
     LR_REQUEST_SUSPECT,
@@ -940,9 +960,11 @@
 
 LrQuarantine *LrQuarantine_New(void);
 void LrQuarantine_Free(LrQuarantine *quarantine);
-uint64_t LrQuarantine_Fingerprint(LrStr entry, LrStr body);
+/* A request that crashed targets for one caller is refused to that caller, and
+ * a suspect for others; once it crashed targets for two, it is refused to
+ * all. */
 LrRequestStatus LrQuarantine_Check(LrQuarantine *quarantine,
-                                   uint64_t fingerprint, LrTime now);
+                                   LrFingerprint fingerprint, LrTime now);
 /* Which other requests were in flight when a target crashed. */
 typedef enum {
     /* Others that may have caused the crash as well. */
@@ -955,36 +977,45 @@
 /* Records that a target crashed with the request in flight. A crash with the
  * same target as the one before is not counted again. */
 LrRequestStatus LrQuarantine_RecordCrash(LrQuarantine *quarantine,
-                                         uint64_t fingerprint, uint32_t target,
+                                         LrFingerprint fingerprint,
+                                         uint32_t target,
                                          LrCrashContext context, LrTime now);
 /* Records a crash that was confirmed, of a target that had run the request
  * from sent_at to broken_at. Crashes at the same time count as one: a request
  * over many shards is at all their targets, of which several may end of
  * another cause. */
 LrRequestStatus LrQuarantine_RecordConfirmed(LrQuarantine *quarantine,
-                                             uint64_t fingerprint,
+                                             LrFingerprint fingerprint,
                                              LrTime sent_at, LrTime broken_at,
                                              LrTime now);
 /* Counts a crash that another daemon confirmed. */
 LrRequestStatus LrQuarantine_AddCrash(LrQuarantine *quarantine,
-                                      uint64_t fingerprint, LrTime now);
+                                      LrFingerprint fingerprint, LrTime now);
 /* Makes the request a suspect for a moment, until its attempt's target is
  * checked. */
-void LrQuarantine_Suspect(LrQuarantine *quarantine, uint64_t fingerprint,
+void LrQuarantine_Suspect(LrQuarantine *quarantine, LrFingerprint fingerprint,
                           LrTime now);
 /* The target is up: ends that. */
-void LrQuarantine_Unsuspect(LrQuarantine *quarantine, uint64_t fingerprint);
+void LrQuarantine_Unsuspect(LrQuarantine *quarantine,
+                            LrFingerprint fingerprint);
 unsigned LrQuarantine_CountCrashes(const LrQuarantine *quarantine,
-                                   uint64_t fingerprint);
+                                   LrFingerprint fingerprint);
 /* A target replied to the request: it is no longer a suspect. */
-void LrQuarantine_Clear(LrQuarantine *quarantine, uint64_t fingerprint);
+void LrQuarantine_Clear(LrQuarantine *quarantine, LrFingerprint fingerprint);
 /* Quarantines a request until a time, on the report of another daemon. */
-void LrQuarantine_Add(LrQuarantine *quarantine, uint64_t fingerprint,
+void LrQuarantine_Add(LrQuarantine *quarantine, LrFingerprint fingerprint,
                       LrTime until, LrTime now);
+/* What is known of one request. */
+typedef struct {
+    LrFingerprint fingerprint;
+    unsigned n_crashes;
+    bool quarantined;
+    LrTime expires_at;
+} LrCrashRecord;
+
 size_t LrQuarantine_Count(const LrQuarantine *quarantine);
 void LrQuarantine_Each(LrQuarantine *quarantine,
-                       void (*func)(void *data, uint64_t fingerprint,
-                                    bool quarantined, LrTime until),
+                       void (*func)(void *data, const LrCrashRecord *record),
                        void *data);
 
 /* ledger.c: idempotency keys and the results of their requests. */
@@ -1160,7 +1191,7 @@
 /* What the daemon has learnt of a request that may crash targets, for its
  * peers. */
 typedef struct {
-    uint64_t fingerprint;
+    LrFingerprint fingerprint;
     LrCrashEvent event;
     /* Key of the target that is down, with event crash. */
     LrStr target;
@@ -1173,8 +1204,9 @@
     LrStr routing_key;
     LrStr key;
     LrTime timeout;
-    /* Distinguishes the request in quarantine beside its entry and body. */
-    LrStr fingerprint_extra;
+    /* Tells in quarantine whether it is the same request as another; all 0 to
+     * go by its entry and body. */
+    LrFingerprint fingerprint;
     /* Set when another daemon, which admitted the request, relays it: the one
      * shard and index version to ask. It is never relayed again. */
     LrStr shard;
@@ -1259,8 +1291,7 @@
     void *data;
     /* first, retry or hedge. */
     const char *attempt_kind;
-    /* Fingerprint of the request in quarantine. */
-    uint64_t fingerprint;
+    LrFingerprint fingerprint;
     LrAnswer *answer;
 } LrAction;
 
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -31,8 +31,8 @@
      * attempt was sent. */
     bool suspect;
     bool sent_as_suspect;
-    /* Of its query; 0 when that was answered by a target meanwhile. */
-    uint64_t fingerprint;
+    /* Of its query; 0 when a target answered that meanwhile. */
+    LrFingerprint fingerprint;
     /* Median latency of its service when it was cancelled; 0 while unknown. */
     LrTime median_latency;
     TAILQ_ENTRY(LrAttempt) of_target;
@@ -76,7 +76,7 @@
     uint64_t route_hash;
     LrStr key;
     GBytes *body;
-    uint64_t fingerprint;
+    LrFingerprint fingerprint;
     void *data;
     LrTime arrived_at;
     LrTime soft_deadline;
--- a/liblavenderrail/quarantine.c
+++ b/liblavenderrail/quarantine.c
@@ -30,14 +30,14 @@
 } RunInterval;
 
 typedef struct {
-    uint64_t fingerprint;
-    unsigned n_crashes;
+    /* With the caller of the first crash. */
+    LrCrashRecord known;
+    /* It crashed targets for another caller too. */
+    bool any_caller;
     /* Of the confirmed crashes of this daemon's targets. */
     RunInterval runs[CRASHES_CONFIRMED];
     unsigned n_runs;
-    bool quarantined;
     uint32_t last_target;
-    LrTime expires_at;
 } CrashRecord;
 
 struct LrQuarantine {
@@ -63,48 +63,84 @@
     g_free(quarantine);
 }
 
+void
+LrFingerprint_ToText(LrFingerprint fingerprint, LrFingerprintText *text)
+{
+    g_snprintf(text->content, sizeof(text->content),
+               "%016" G_GINT64_MODIFIER "x", fingerprint.content);
+    g_snprintf(text->caller, sizeof(text->caller),
+               "%016" G_GINT64_MODIFIER "x", fingerprint.caller);
+}
+
+static bool
+parse_hex(LrStr text, uint64_t *value)
+{
+    g_autofree char *copy = LrStr_Dup(text);
+    return g_ascii_string_to_unsigned(copy, 16, 0, UINT64_MAX, value, NULL);
+}
+
+bool
+LrFingerprint_FromText(LrStr content, LrStr caller, LrFingerprint *fingerprint)
+{
+    fingerprint->caller = 0;
+    return parse_hex(content, &fingerprint->content) &&
+           (caller.len == 0 || parse_hex(caller, &fingerprint->caller));
+}
+
 uint64_t
-LrQuarantine_Fingerprint(LrStr entry, LrStr body)
+LrQuarantine_HashContent(LrStr entry, LrStr body)
 {
     return LrStr_Hash(body, LrStr_Hash(entry, 0));
 }
 
 static CrashRecord *
-lookup_record(LrQuarantine *quarantine, uint64_t fingerprint, LrTime now)
+lookup_record(LrQuarantine *quarantine, LrFingerprint fingerprint, LrTime now)
 {
     CrashRecord *record =
-        g_hash_table_lookup(quarantine->records, &fingerprint);
-    if (record && record->expires_at <= now) {
-        g_hash_table_remove(quarantine->records, &fingerprint);
+        g_hash_table_lookup(quarantine->records, &fingerprint.content);
+    if (record && record->known.expires_at <= now) {
+        g_hash_table_remove(quarantine->records, &fingerprint.content);
         return NULL;
     }
     return record;
 }
 
+static bool
+is_of_caller(const CrashRecord *record, LrFingerprint fingerprint)
+{
+    LrFingerprint known = record->known.fingerprint;
+    return record->any_caller || known.caller == 0 ||
+           known.caller == fingerprint.caller;
+}
+
 static LrRequestStatus
-request_status(const CrashRecord *record)
+request_status(const CrashRecord *record, LrFingerprint fingerprint)
 {
     if (!record) {
         return LR_REQUEST_CLEAR;
     }
-    return record->quarantined ? LR_REQUEST_QUARANTINED : LR_REQUEST_SUSPECT;
+    return record->known.quarantined && is_of_caller(record, fingerprint)
+               ? LR_REQUEST_QUARANTINED
+               : LR_REQUEST_SUSPECT;
 }
 
 LrRequestStatus
-LrQuarantine_Check(LrQuarantine *quarantine, uint64_t fingerprint, LrTime now)
+LrQuarantine_Check(LrQuarantine *quarantine, LrFingerprint fingerprint,
+                   LrTime now)
 {
-    return request_status(lookup_record(quarantine, fingerprint, now));
+    return request_status(lookup_record(quarantine, fingerprint, now),
+                          fingerprint);
 }
 
 static gboolean
 is_expired(gpointer key, gpointer value, gpointer data)
 {
     (void)key;
-    return ((CrashRecord *)value)->expires_at <= *(LrTime *)data;
+    return ((CrashRecord *)value)->known.expires_at <= *(LrTime *)data;
 }
 
 static CrashRecord *
-add_record(LrQuarantine *quarantine, uint64_t fingerprint, LrTime now)
+add_record(LrQuarantine *quarantine, LrFingerprint fingerprint, LrTime now)
 {
     if (g_hash_table_size(quarantine->records) >= MAX_RECORDS) {
         g_hash_table_foreach_remove(quarantine->records, is_expired, &now);
@@ -113,13 +149,14 @@
         return NULL;
     }
     CrashRecord *record = g_new0(CrashRecord, 1);
-    record->fingerprint = fingerprint;
-    g_hash_table_insert(quarantine->records, &record->fingerprint, record);
+    record->known.fingerprint = fingerprint;
+    g_hash_table_insert(quarantine->records,
+                        &record->known.fingerprint.content, record);
     return record;
 }
 
 LrRequestStatus
-LrQuarantine_RecordCrash(LrQuarantine *quarantine, uint64_t fingerprint,
+LrQuarantine_RecordCrash(LrQuarantine *quarantine, LrFingerprint fingerprint,
                          uint32_t target, LrCrashContext context, LrTime now)
 {
     CrashRecord *record = lookup_record(quarantine, fingerprint, now);
@@ -129,23 +166,23 @@
             return LR_REQUEST_CLEAR;
         }
         record->last_target = target;
-        record->n_crashes = 1;
-        record->expires_at = now + SUSPECT_TTL;
+        record->known.n_crashes = 1;
+        record->known.expires_at = now + SUSPECT_TTL;
         return LR_REQUEST_SUSPECT;
     }
     if (context == LR_CRASH_WITH_SUSPECTS || record->last_target == target ||
-        record->quarantined) {
-        return request_status(record);
+        record->known.quarantined) {
+        return request_status(record, fingerprint);
     }
-    record->n_crashes++;
+    record->known.n_crashes++;
     record->last_target = target;
     unsigned needed =
         context == LR_CRASH_ALONE ? CRASHES_ALONE : CRASHES_WITH_OTHERS;
-    if (record->n_crashes >= needed) {
-        record->quarantined = true;
-        record->expires_at = now + QUARANTINE_TTL;
+    if (record->known.n_crashes >= needed) {
+        record->known.quarantined = true;
+        record->known.expires_at = now + QUARANTINE_TTL;
     }
-    return request_status(record);
+    return request_status(record, fingerprint);
 }
 
 static bool
@@ -160,19 +197,24 @@
 }
 
 static void
-count_confirmed(CrashRecord *record, LrTime now)
+count_confirmed(CrashRecord *record, LrFingerprint fingerprint, LrTime now)
 {
-    record->n_crashes++;
-    record->expires_at = now + SUSPECT_TTL;
-    if (record->n_crashes >= CRASHES_CONFIRMED) {
-        record->quarantined = true;
-        record->expires_at = now + QUARANTINE_TTL;
+    if (record->known.n_crashes == 0) {
+        record->known.fingerprint.caller = fingerprint.caller;
+    }
+    record->any_caller |= !is_of_caller(record, fingerprint);
+    record->known.n_crashes++;
+    record->known.expires_at = now + SUSPECT_TTL;
+    if (record->known.n_crashes >= CRASHES_CONFIRMED) {
+        record->known.quarantined = true;
+        record->known.expires_at = now + QUARANTINE_TTL;
     }
 }
 
 LrRequestStatus
-LrQuarantine_RecordConfirmed(LrQuarantine *quarantine, uint64_t fingerprint,
-                             LrTime sent_at, LrTime broken_at, LrTime now)
+LrQuarantine_RecordConfirmed(LrQuarantine *quarantine,
+                             LrFingerprint fingerprint, LrTime sent_at,
+                             LrTime broken_at, LrTime now)
 {
     CrashRecord *record = lookup_record(quarantine, fingerprint, now);
     if (!record) {
@@ -181,31 +223,36 @@
     if (!record) {
         return LR_REQUEST_CLEAR;
     }
-    if (record->quarantined || overlaps(record, sent_at, broken_at)) {
-        return request_status(record);
+    bool decided =
+        record->known.quarantined && is_of_caller(record, fingerprint);
+    if (decided || overlaps(record, sent_at, broken_at)) {
+        return request_status(record, fingerprint);
     }
-    record->runs[record->n_runs++] =
-        (RunInterval){.start = sent_at, .end = broken_at};
-    count_confirmed(record, now);
-    return request_status(record);
+    if (record->n_runs < CRASHES_CONFIRMED) {
+        record->runs[record->n_runs++] =
+            (RunInterval){.start = sent_at, .end = broken_at};
+    }
+    count_confirmed(record, fingerprint, now);
+    return request_status(record, fingerprint);
 }
 
 LrRequestStatus
-LrQuarantine_AddCrash(LrQuarantine *quarantine, uint64_t fingerprint,
+LrQuarantine_AddCrash(LrQuarantine *quarantine, LrFingerprint fingerprint,
                       LrTime now)
 {
     CrashRecord *record = lookup_record(quarantine, fingerprint, now);
     if (!record) {
         record = add_record(quarantine, fingerprint, now);
     }
-    if (record && !record->quarantined) {
-        count_confirmed(record, now);
+    if (record &&
+        request_status(record, fingerprint) != LR_REQUEST_QUARANTINED) {
+        count_confirmed(record, fingerprint, now);
     }
-    return request_status(record);
+    return request_status(record, fingerprint);
 }
 
 void
-LrQuarantine_Suspect(LrQuarantine *quarantine, uint64_t fingerprint,
+LrQuarantine_Suspect(LrQuarantine *quarantine, LrFingerprint fingerprint,
                      LrTime now)
 {
     CrashRecord *record = lookup_record(quarantine, fingerprint, now);
@@ -213,50 +260,54 @@
         record = add_record(quarantine, fingerprint, now);
     }
     if (record) {
-        record->expires_at = MAX(record->expires_at, now + UNCONFIRMED_TTL);
+        record->known.expires_at =
+            MAX(record->known.expires_at, now + UNCONFIRMED_TTL);
     }
 }
 
 void
-LrQuarantine_Unsuspect(LrQuarantine *quarantine, uint64_t fingerprint)
+LrQuarantine_Unsuspect(LrQuarantine *quarantine, LrFingerprint fingerprint)
 {
     const CrashRecord *record =
-        g_hash_table_lookup(quarantine->records, &fingerprint);
-    if (record && record->n_crashes == 0) {
-        g_hash_table_remove(quarantine->records, &fingerprint);
+        g_hash_table_lookup(quarantine->records, &fingerprint.content);
+    if (record && record->known.n_crashes == 0) {
+        g_hash_table_remove(quarantine->records, &fingerprint.content);
     }
 }
 
 unsigned
-LrQuarantine_CountCrashes(const LrQuarantine *quarantine, uint64_t fingerprint)
+LrQuarantine_CountCrashes(const LrQuarantine *quarantine,
+                          LrFingerprint fingerprint)
 {
     const CrashRecord *record =
-        g_hash_table_lookup(quarantine->records, &fingerprint);
-    return record ? record->n_crashes : 0;
+        g_hash_table_lookup(quarantine->records, &fingerprint.content);
+    return record ? record->known.n_crashes : 0;
 }
 
 void
-LrQuarantine_Clear(LrQuarantine *quarantine, uint64_t fingerprint)
+LrQuarantine_Clear(LrQuarantine *quarantine, LrFingerprint fingerprint)
 {
     CrashRecord *record =
-        g_hash_table_lookup(quarantine->records, &fingerprint);
-    if (record && !record->quarantined) {
-        g_hash_table_remove(quarantine->records, &fingerprint);
+        g_hash_table_lookup(quarantine->records, &fingerprint.content);
+    if (record && !record->known.quarantined &&
+        is_of_caller(record, fingerprint)) {
+        g_hash_table_remove(quarantine->records, &fingerprint.content);
     }
 }
 
 void
-LrQuarantine_Add(LrQuarantine *quarantine, uint64_t fingerprint, LrTime until,
-                 LrTime now)
+LrQuarantine_Add(LrQuarantine *quarantine, LrFingerprint fingerprint,
+                 LrTime until, LrTime now)
 {
     CrashRecord *record =
-        g_hash_table_lookup(quarantine->records, &fingerprint);
+        g_hash_table_lookup(quarantine->records, &fingerprint.content);
     if (!record) {
         record = add_record(quarantine, fingerprint, now);
     }
     if (record) {
-        record->quarantined = true;
-        record->expires_at = MAX(record->expires_at, until);
+        record->any_caller |= !is_of_caller(record, fingerprint);
+        record->known.quarantined = true;
+        record->known.expires_at = MAX(record->known.expires_at, until);
     }
 }
 
@@ -268,8 +319,7 @@
 
 void
 LrQuarantine_Each(LrQuarantine *quarantine,
-                  void (*func)(void *data, uint64_t fingerprint,
-                               bool quarantined, LrTime until),
+                  void (*func)(void *data, const LrCrashRecord *record),
                   void *data)
 {
     GHashTableIter iter;
@@ -277,7 +327,10 @@
     g_hash_table_iter_init(&iter, quarantine->records);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const CrashRecord *record = value;
-        func(data, record->fingerprint, record->quarantined,
-             record->expires_at);
+        LrCrashRecord known = record->known;
+        if (record->any_caller) {
+            known.fingerprint.caller = 0;
+        }
+        func(data, &known);
     }
 }
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -186,11 +186,10 @@
     query->arrived_at = now;
     query->next_hedge_at = LR_NEVER;
     query->timer = (LrTimer){.func = on_timer, .data = query};
-    query->fingerprint = LrQuarantine_Fingerprint(
-        request->entry, LrStr_FromBytes(request->body));
-    if (request->fingerprint_extra.len > 0) {
-        query->fingerprint =
-            LrStr_Hash(request->fingerprint_extra, query->fingerprint);
+    query->fingerprint = request->fingerprint;
+    if (query->fingerprint.content == 0) {
+        query->fingerprint.content = LrQuarantine_HashContent(
+            request->entry, LrStr_FromBytes(request->body));
     }
     TAILQ_INSERT_TAIL(&engine->queries, query, of_engine);
     g_hash_table_insert(engine->queries_by_id, &query->id, query);
@@ -226,7 +225,8 @@
     query->soft_deadline =
         MAX(now, query->soft_deadline - engine->config.answer_margin);
     LrStr route = request->routing_key;
-    query->route_hash = route.len ? LrStr_Hash(route, 0) : query->fingerprint;
+    query->route_hash =
+        route.len ? LrStr_Hash(route, 0) : query->fingerprint.content;
     return LrAdmission_Check(engine, query, now);
 }
 
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -105,6 +105,9 @@
         request.body = g_bytes_new(body, strlen(body));
         request.single_shard = single_shard;
         request.routing_key = LrStr_FromC("k");
+        if (caller != 0) {
+            request.fingerprint = {std::hash<std::string>()(body), caller};
+        }
         uint64_t id = LrEngine_Submit(engine, now, &request);
         g_bytes_unref(request.body);
         collect();
@@ -218,6 +221,8 @@
     LrEngine *engine;
     LrCounters *counters;
     LrTime now = LR_SECOND;
+    // Who submits; 0 where callers are not told apart.
+    uint64_t caller = 0;
     // What targets report with the next replies.
     LrRateReport rate_report = {};
     std::deque<Send> sends;
--- a/tests/test_crash.cc
+++ b/tests/test_crash.cc
@@ -172,3 +172,58 @@
     }
     EXPECT_EQ(harness.count(LR_COUNT_CRASHES), 1u);
 }
+
+TEST(Crash, ARequestThatCrashesTargetsForOneCallerIsOnlyASuspectForOthers)
+{
+    CrashHarness harness(1, 9);
+    harness.caller = 1;
+    for (int i = 0; i < 3; i++) {
+        harness.submit("ask", false, "crashes");
+        harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+        harness.advance(300 * MS);
+    }
+    EXPECT_EQ(harness.last_reason(), LR_REASON_QUARANTINED);
+    harness.caller = 2;
+    for (int i = 0; i < 3; i++) {
+        harness.submit("ask", false, "crashes");
+        harness.end_all(LR_REPLY_OK, LR_CHECK_UP);
+        EXPECT_EQ(harness.answers.back().outcome, LR_OUTCOME_COMPLETE);
+    }
+    harness.caller = 1;
+    harness.submit("ask", false, "crashes");
+    EXPECT_TRUE(harness.sends.empty()) << "the other caller's is another one";
+    harness.caller = 3;
+    harness.submit("ask", false, "crashes");
+    harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+    for (uint64_t caller = 1; caller < 5; caller++) {
+        harness.caller = caller;
+        harness.submit("ask", false, "crashes");
+        EXPECT_TRUE(harness.sends.empty()) << caller;
+        EXPECT_EQ(harness.last_reason(), LR_REASON_QUARANTINED) << caller;
+    }
+}
+
+TEST(Crash, CrashesForSeveralCallersAddUp)
+{
+    CrashHarness harness(1, 9);
+    for (uint64_t caller = 1; caller < 6; caller++) {
+        harness.caller = caller;
+        harness.submit("once", false, "crashes");
+        harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+        harness.advance(300 * MS);
+    }
+    EXPECT_EQ(harness.n_ended, 3);
+    EXPECT_EQ(harness.last_reason(), LR_REASON_QUARANTINED);
+}
+
+TEST(Crash, RequestsWithOtherContentAreNotToBlame)
+{
+    CrashHarness harness(1, 9);
+    for (int i = 0; i < 3; i++) {
+        harness.submit("once", false, "crashes");
+        harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+        harness.advance(300 * MS);
+    }
+    harness.submit("once", false, "crashes?");
+    EXPECT_EQ(harness.sends.size(), 1u);
+}
--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -73,7 +73,7 @@
 class CrashingRequests : public testing::Test {
   protected:
     void
-    make(int base, int daemons = 6, int n_zones = 3)
+    make_fleet(int base, int daemons, int n_zones)
     {
         n_daemons = daemons;
         fleet = std::make_unique<RoutedFleet>(base, n_daemons, n_zones);
@@ -83,6 +83,11 @@
                               n_searchers++);
             }
         }
+    }
+    void
+    make(int base, int daemons = 6, int n_zones = 3)
+    {
+        make_fleet(base, daemons, n_zones);
         fleet->setup();
         for (int i = 1; i <= n_daemons; i++) {
             ASSERT_TRUE(eventually([&] { return fleet->serves(i); }));
@@ -219,3 +224,22 @@
             << i;
     }
 }
+
+TEST_F(CrashingRequests, AreKnownOnAllBackendsOfARoute)
+{
+    make_fleet(30500, 3, 3);
+    fleet->setup(",{\"name\":\"split\",\"host\":\"q.example\","
+                 "\"prefix\":\"/x/\",\"type\":\"idempotent\","
+                 "\"timeout_ms\":1500,\"max_attempts\":1,"
+                 "\"weighted_backends\":[{\"service\":\"a\",\"weight\":1},"
+                 "{\"service\":\"b\",\"weight\":1},"
+                 "{\"service\":\"c\",\"weight\":1}]}");
+    for (int i = 1; i <= n_daemons; i++) {
+        ASSERT_TRUE(eventually([&] { return fleet->serves(i); }));
+    }
+    fleet->control(down_for("/x/crash", false));
+    repeat("/x/crash", 15);
+    EXPECT_EQ(crashes("/x/crash"), 3u);
+    expect_refused_by_all("/x/crash");
+    EXPECT_EQ(fleet->ask(1, "/x/crash?other", "query").status, 200);
+}
--- a/tests/test_quarantine.cc
+++ b/tests/test_quarantine.cc
@@ -21,68 +21,70 @@
 
 TEST_F(QuarantineTest, SecondCrashAloneQuarantinesForABoundedTime)
 {
-    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, 1, 10,
+    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, {1, 0}, 10,
                                        LR_CRASH_WITH_SUSPECTS, LR_SECOND),
               LR_REQUEST_SUSPECT);
-    EXPECT_EQ(
-        LrQuarantine_RecordCrash(quarantine, 1, 11, LR_CRASH_ALONE, LR_SECOND),
-        LR_REQUEST_QUARANTINED);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 1, 2 * LR_SECOND),
+    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, {1, 0}, 11, LR_CRASH_ALONE,
+                                       LR_SECOND),
+              LR_REQUEST_QUARANTINED);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 0}, 2 * LR_SECOND),
               LR_REQUEST_QUARANTINED);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 1, 400 * LR_SECOND),
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 0}, 400 * LR_SECOND),
               LR_REQUEST_CLEAR);
 }
 
 TEST_F(QuarantineTest, CrashBesideASuspectDoesNotQuarantine)
 {
-    LrQuarantine_RecordCrash(quarantine, 1, 10, LR_CRASH_WITH_SUSPECTS,
+    LrQuarantine_RecordCrash(quarantine, {1, 0}, 10, LR_CRASH_WITH_SUSPECTS,
                              LR_SECOND);
-    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, 1, 11,
+    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, {1, 0}, 11,
                                        LR_CRASH_WITH_SUSPECTS, LR_SECOND),
               LR_REQUEST_SUSPECT);
 }
 
 TEST_F(QuarantineTest, AmongOthersItTakesAThirdCrash)
 {
-    LrQuarantine_RecordCrash(quarantine, 1, 10, LR_CRASH_WITH_OTHERS,
+    LrQuarantine_RecordCrash(quarantine, {1, 0}, 10, LR_CRASH_WITH_OTHERS,
                              LR_SECOND);
-    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, 1, 11, LR_CRASH_WITH_OTHERS,
-                                       LR_SECOND),
+    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, {1, 0}, 11,
+                                       LR_CRASH_WITH_OTHERS, LR_SECOND),
               LR_REQUEST_SUSPECT);
-    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, 1, 12, LR_CRASH_WITH_OTHERS,
-                                       LR_SECOND),
+    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, {1, 0}, 12,
+                                       LR_CRASH_WITH_OTHERS, LR_SECOND),
               LR_REQUEST_QUARANTINED);
 }
 
 TEST_F(QuarantineTest, SameTargetTwiceIsOneCrash)
 {
-    LrQuarantine_RecordCrash(quarantine, 1, 10, LR_CRASH_WITH_SUSPECTS,
+    LrQuarantine_RecordCrash(quarantine, {1, 0}, 10, LR_CRASH_WITH_SUSPECTS,
                              LR_SECOND);
-    EXPECT_EQ(
-        LrQuarantine_RecordCrash(quarantine, 1, 10, LR_CRASH_ALONE, LR_SECOND),
-        LR_REQUEST_SUSPECT);
+    EXPECT_EQ(LrQuarantine_RecordCrash(quarantine, {1, 0}, 10, LR_CRASH_ALONE,
+                                       LR_SECOND),
+              LR_REQUEST_SUSPECT);
 }
 
 TEST_F(QuarantineTest, ReplyClearsASuspectOnly)
 {
-    LrQuarantine_RecordCrash(quarantine, 1, 10, LR_CRASH_WITH_SUSPECTS,
+    LrQuarantine_RecordCrash(quarantine, {1, 0}, 10, LR_CRASH_WITH_SUSPECTS,
+                             LR_SECOND);
+    LrQuarantine_Clear(quarantine, {1, 0});
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 0}, LR_SECOND),
+              LR_REQUEST_CLEAR);
+    LrQuarantine_RecordCrash(quarantine, {1, 0}, 10, LR_CRASH_WITH_SUSPECTS,
                              LR_SECOND);
-    LrQuarantine_Clear(quarantine, 1);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 1, LR_SECOND), LR_REQUEST_CLEAR);
-    LrQuarantine_RecordCrash(quarantine, 1, 10, LR_CRASH_WITH_SUSPECTS,
+    LrQuarantine_RecordCrash(quarantine, {1, 0}, 11, LR_CRASH_ALONE,
                              LR_SECOND);
-    LrQuarantine_RecordCrash(quarantine, 1, 11, LR_CRASH_ALONE, LR_SECOND);
-    LrQuarantine_Clear(quarantine, 1);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 1, LR_SECOND),
+    LrQuarantine_Clear(quarantine, {1, 0});
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 0}, LR_SECOND),
               LR_REQUEST_QUARANTINED);
 }
 
 TEST_F(QuarantineTest, PeerReportQuarantines)
 {
-    LrQuarantine_Add(quarantine, 7, 9 * LR_SECOND, LR_SECOND);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 7, 8 * LR_SECOND),
+    LrQuarantine_Add(quarantine, {7, 0}, 9 * LR_SECOND, LR_SECOND);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {7, 0}, 8 * LR_SECOND),
               LR_REQUEST_QUARANTINED);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 7, 10 * LR_SECOND),
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {7, 0}, 10 * LR_SECOND),
               LR_REQUEST_CLEAR);
 }
 
@@ -90,51 +92,52 @@
 {
     constexpr uint64_t MAX_RECORDS = 4096;
     for (uint64_t i = 0; i < MAX_RECORDS; i++) {
-        LrQuarantine_RecordCrash(quarantine, 100 + i, 10,
+        LrQuarantine_RecordCrash(quarantine, {100 + i, 0}, 10,
                                  LR_CRASH_WITH_SUSPECTS, LR_SECOND);
     }
     LrTime later = 100 * LR_SECOND;
-    LrQuarantine_Add(quarantine, 7, later + LR_SECOND, later);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 7, later),
+    LrQuarantine_Add(quarantine, {7, 0}, later + LR_SECOND, later);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {7, 0}, later),
               LR_REQUEST_QUARANTINED);
 }
 
 TEST_F(QuarantineTest, ConfirmedCrashesAtTheSameTimeCountOnce)
 {
     for (LrTime end = 5; end < 9; end++) {
-        EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, 1, 1, end, 10),
+        EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, {1, 0}, 1, end, 10),
                   LR_REQUEST_SUSPECT);
     }
-    EXPECT_EQ(LrQuarantine_CountCrashes(quarantine, 1), 1u);
-    EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, 1, 20, 25, 30),
+    EXPECT_EQ(LrQuarantine_CountCrashes(quarantine, {1, 0}), 1u);
+    EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, {1, 0}, 20, 25, 30),
               LR_REQUEST_SUSPECT);
-    EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, 1, 12, 15, 30),
+    EXPECT_EQ(LrQuarantine_RecordConfirmed(quarantine, {1, 0}, 12, 15, 30),
               LR_REQUEST_QUARANTINED)
         << "whichever is confirmed first";
 }
 
 TEST_F(QuarantineTest, CrashesOfOtherDaemonsCount)
 {
-    LrQuarantine_RecordConfirmed(quarantine, 1, 1, 5, 10);
-    LrQuarantine_AddCrash(quarantine, 1, 10);
-    EXPECT_EQ(LrQuarantine_AddCrash(quarantine, 1, 10),
+    LrQuarantine_RecordConfirmed(quarantine, {1, 0}, 1, 5, 10);
+    LrQuarantine_AddCrash(quarantine, {1, 0}, 10);
+    EXPECT_EQ(LrQuarantine_AddCrash(quarantine, {1, 0}, 10),
               LR_REQUEST_QUARANTINED);
 }
 
 TEST_F(QuarantineTest, AnUnconfirmedSuspectIsClearAgainSoon)
 {
-    LrQuarantine_Suspect(quarantine, 1, LR_SECOND);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 1, LR_SECOND),
+    LrQuarantine_Suspect(quarantine, {1, 0}, LR_SECOND);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 0}, LR_SECOND),
               LR_REQUEST_SUSPECT);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 1, 3 * LR_SECOND),
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 0}, 3 * LR_SECOND),
+              LR_REQUEST_CLEAR);
+    LrQuarantine_Suspect(quarantine, {2, 0}, LR_SECOND);
+    LrQuarantine_Unsuspect(quarantine, {2, 0});
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {2, 0}, LR_SECOND),
               LR_REQUEST_CLEAR);
-    LrQuarantine_Suspect(quarantine, 2, LR_SECOND);
-    LrQuarantine_Unsuspect(quarantine, 2);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 2, LR_SECOND), LR_REQUEST_CLEAR);
-    LrQuarantine_RecordConfirmed(quarantine, 3, 1, 5, LR_SECOND);
-    LrQuarantine_Suspect(quarantine, 3, LR_SECOND);
-    LrQuarantine_Unsuspect(quarantine, 3);
-    EXPECT_EQ(LrQuarantine_Check(quarantine, 3, 3 * LR_SECOND),
+    LrQuarantine_RecordConfirmed(quarantine, {3, 0}, 1, 5, LR_SECOND);
+    LrQuarantine_Suspect(quarantine, {3, 0}, LR_SECOND);
+    LrQuarantine_Unsuspect(quarantine, {3, 0});
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {3, 0}, 3 * LR_SECOND),
               LR_REQUEST_SUSPECT)
         << "a confirmed crash stays";
 }
