gateway, dump, cli: a refused request can be connected with its crashes

Cause: request_answered did not name the request's fingerprint, so a caller's id that was refused as quarantined led to no line about crashes; explain showed nothing of quarantined requests, and /state not whose they are.

Result: CrashingRequests.AreRefusedByAllDaemonsAfterAFewCrashes checks explain.

--- a/cli/lavenderrail.c
+++ b/cli/lavenderrail.c
@@ -464,6 +464,25 @@
     }
 }
 
+/* Prints the requests that are refused, or watched, since they may crash
+ * targets. Caller 0 stands for all callers. */
+static void
+print_quarantined(const json_t *state)
+{
+    size_t i;
+    json_t *row;
+    json_array_foreach(json_object_get(state, "quarantine"), i, row)
+    {
+        bool refused = json_is_true(json_object_get(row, "condemned"));
+        printf("  request %s of caller %s is %s: %" JSON_INTEGER_FORMAT
+               " crashes seen here; for %" JSON_INTEGER_FORMAT " ms\n",
+               member_text(row, "fingerprint"), member_text(row, "caller"),
+               refused ? "refused" : "a suspect",
+               json_integer_value(json_object_get(row, "crashes")),
+               json_integer_value(json_object_get(row, "left_ms")));
+    }
+}
+
 static int
 run_explain(const Options *options, const char *const *arguments)
 {
@@ -489,6 +508,7 @@
                json_integer_value(
                    json_object_get(entry, "service_waiting_parts")));
         print_restricted_targets(state);
+        print_quarantined(state);
     }
     json_decref(state);
     return status;
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -74,15 +74,15 @@
 dump_quarantined(void *data, const LrCrashRecord *record)
 {
     json_t *list = data;
-    char text[24];
-    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
-               record->fingerprint.content);
+    LrFingerprintText text;
+    LrFingerprint_ToText(record->fingerprint, &text);
     LrTime left = record->expires_at - LrClock_Now();
     json_array_append_new(
         list,
-        json_pack("{s:s, s:b, s:i, s:I}", "fingerprint", text, "condemned",
-                  record->quarantined, "crashes", (int)record->n_crashes,
-                  "left_ms", (json_int_t)(left / LR_MILLISECOND)));
+        json_pack("{s:s, s:s, s:b, s:i, s:I}", "fingerprint", text.content,
+                  "caller", text.caller, "condemned", record->quarantined,
+                  "crashes", (int)record->n_crashes, "left_ms",
+                  (json_int_t)(left / LR_MILLISECOND)));
 }
 
 static json_t *
--- a/liblavenderrail/gateway_answer.c
+++ b/liblavenderrail/gateway_answer.c
@@ -108,6 +108,7 @@
            LrLog_Int("answered", (int64_t)answer->n_answered),
            LrLog_Int("attempts", routed->n_attempts),
            LrLog_Int("ms", taken / LR_MILLISECOND),
+           LrLog_Hex("fingerprint", routed->fingerprint.content),
            LrLog_Int(
                "config",
                LrRoutes_Spec(LrRouting_Routes(routed->catalogue))->version));
--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -3,6 +3,7 @@
 // requests meanwhile.
 #include <random>
 
+#include "command.h"
 #include "routed.h"
 
 namespace {
@@ -150,6 +151,11 @@
     repeat("/c/crash", 30);
     EXPECT_LE(crashes("/c/crash"), MAX_CRASHES);
     expect_refused_by_all("/c/crash");
+    Output explained = run(LR_BIN "/lavenderrail --operator http://" +
+                           fleet->address(12) + " explain 'one#0'");
+    EXPECT_EQ(explained.status, 0);
+    EXPECT_NE(explained.text.find(" is refused: "), std::string::npos)
+        << explained.text;
 }
 
 TEST_F(CrashingRequests, AreRefusedWhereTargetsKeepTheirPortsOpen)
