soak: requests that crash searchers

Cause: the soak could not play the reported incident: no request crashed searchers, so restarts, cuts and forwarding beside one were not tested.

Change: a request on a single or gather route crashes each searcher that begins it and comes again for eight seconds, to any daemon, with the port closed or open, among the other faults. Checked: at most three arrivals later than the stability window after the third crash, from daemons in touch; and that no daemon refuses more requests than crash. Planted violation: crash.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,6 +39,9 @@
 # A limited searcher gets at most this in a window, from some seconds after it
 # first named its limit.
 LIMIT_RATIO, LIMIT_EXTRA, LIMIT_WINDOW_S, LIMIT_KNOWN_S = 1.5, 5, 4.0, 4.0
+# A request that has crashed three searchers reaches searchers at most this
+# often later than the stability window after the third crash.
+CRASHES_KNOWN, CRASH_RETRIES, STABILITY_S = 3, 3, 4.0
 
 
 class Proxy:
@@ -111,8 +114,13 @@
         # Rate limits that searchers named: name, start, end, requests/s.
         self.limits = []
         self.limited = set()
+        # Request targets that crash searchers, one at a time.
+        self.crashing = []
+        self.crash_lock = asyncio.Lock()
         self.configs = []
         self.disturbed_until = {}
+        # When a link of a daemon was last cut or slow, by the daemon's name.
+        self.link_faults = {}
         self.next_id = 0
         self.stopping = False
 
@@ -303,6 +311,40 @@
         self.check_budget(runs)
         for limit in self.limits:
             self.check_limit(runs, *limit)
+        for path in self.crashing:
+            self.check_crashes(runs, path)
+
+    def check_crashes(self, runs, path):
+        """Each run of such a request has crashed a searcher."""
+        crashes = sorted(((run["at_ms"] / 1000, run["id"]) for run in runs
+                          if run["target"] == path))
+        if len(crashes) < CRASHES_KNOWN:
+            return
+        known = crashes[CRASHES_KNOWN - 1][0] + STABILITY_S
+        late = [at for at, name in crashes
+                if at > known and self.in_touch(name, at)]
+        if len(late) > CRASH_RETRIES:
+            self.violate("crash", "%s ran %d times, %d of them late" % (
+                path, len(crashes), len(late)))
+
+    def in_touch(self, name, at):
+        """Whether nothing had disturbed the daemon that was sent a request."""
+        daemon = "d%d" % self.sent[name]["daemon"]
+        return not any(
+            start <= at <= end + STABILITY_S for start, end in
+            (self.disturbed_until.get(daemon, (at + 1, 0)),
+             self.link_faults.get(daemon, (at + 1, 0))))
+
+    async def check_quarantine(self):
+        """No request is refused for crashes but those that cause them."""
+        for i in range(1, self.options.daemons + 1):
+            _, _, text = await self.http(self.port(i, 2), "GET", "/state", {})
+            refused = [row for row in json.loads(text)["quarantine"]
+                       if row["condemned"]]
+            self.counts["quarantined"] += len(refused)
+            if len(refused) > len(self.crashing):
+                self.violate("innocent", "d%d refuses %d requests, %d crash" % (
+                    i, len(refused), len(self.crashing)))
 
     def check_limit(self, runs, name, start, end, per_s):
         at = sorted(run["at_ms"] / 1000 for run in runs
@@ -466,10 +508,12 @@
                 self.processes[name].send_signal(signal.SIGHUP)
 
     async def fault_link(self):
-        proxy = self.random.choice(list(self.proxies.values()))
+        name, proxy = self.random.choice(list(self.proxies.items()))
         proxy.mode = self.random.choice(
             ["delay", "silent", "cut-there", "cut-back", "refuse"])
         self.disturb("links", 4)
+        now = time.monotonic()
+        self.link_faults["d" + name.lstrip("peerstor")] = (now, now + 3)
         if self.random.random() < 0.5:
             proxy.reset()
         await asyncio.sleep(self.random.uniform(0.5, 3))
@@ -514,6 +558,32 @@
             await self.control("fault?id=%s&name=limit&value=0" % name)
         self.limited.difference_update(names)
 
+    async def fault_crash(self):
+        """A request crashes each searcher that begins it, and comes again."""
+        if self.crash_lock.locked():
+            return
+        async with self.crash_lock:
+            kind = self.random.choice("wo")
+            path = "/%s/crash%d" % (kind, len(self.crashing))
+            control = "crash?target=%s&open=%d&for_ms=" % (
+                path, self.random.random() < 0.3)
+            self.crashing.append(path)
+            await self.control("%s%d" % (
+                control, self.random.randrange(1000, 3000)))
+            end = time.monotonic() + 2 * STABILITY_S
+            while time.monotonic() < end:
+                self.next_id += 1
+                request = {"id": "r%d" % self.next_id, "kind": kind,
+                           "path": path, "at": time.monotonic(),
+                           "daemon": self.random.randrange(
+                               1, self.options.daemons + 1)}
+                self.sent[request["id"]] = request
+                connection = await self.ask(request, None)
+                if connection:
+                    connection[1].close()
+                await asyncio.sleep(self.random.uniform(0.1, 0.5))
+            await self.control(control + "0")
+
     async def fault_release(self):
         """A searcher is replaced: the new one starts, the old one drains."""
         name = self.random.choice(list(self.searchers))
@@ -561,13 +631,15 @@
         kinds = [self.fault_kill, self.fault_stop, self.fault_pause,
                  self.fault_hangup, self.fault_link, self.fault_store,
                  self.fault_searcher, self.fault_searcher, self.fault_release,
-                 self.fault_config, self.fault_limit]
+                 self.fault_config, self.fault_limit, self.fault_crash]
         tasks = set()
-        # A limit is checked only after some seconds, so that it comes first.
-        kind = self.fault_limit
+        # Limits and crashes are checked only after some seconds, so that they
+        # come first.
+        first = [self.fault_limit, self.fault_crash]
+        kind = first.pop(0)
         while not self.stopping:
             task = asyncio.create_task(kind())
-            kind = self.random.choice(kinds)
+            kind = first.pop(0) if first else self.random.choice(kinds)
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             task.add_done_callback(self.note_failure)
@@ -638,6 +710,13 @@
             self.limits.append((ran[0]["server"], at - 6, at + 1, 2))
             runs += [dict(ran[0], at_ms=ran[0]["at_ms"] - 5000)]
             runs += [ran[0]] * 18
+        elif kind == "crash":
+            self.disturbed_until.clear()
+            self.link_faults.clear()
+            at = ran[0]["at_ms"]
+            self.crashing = [ran[0]["target"]]
+            runs += [dict(ran[0], at_ms=at - 9000)] * CRASHES_KNOWN
+            runs += [ran[0]] * CRASH_RETRIES
         elif kind == "mixed":
             self.check_answer(wide, 200, {
                 "x-part-seals": "seal-other-a0-0, seal-other-b0-0",
@@ -661,6 +740,7 @@
         if not await self.wait_served(RECOVERY_S):
             self.violate("recover", "not served %.0f s after the last fault"
                          % RECOVERY_S)
+        await self.check_quarantine()
         runs = await self.runs()
         if self.options.plant:
             self.plant(runs)
@@ -679,7 +759,7 @@
     parser.add_argument("--port", type=int, default=29000)
     parser.add_argument("--plant", choices=[
         "refused", "twice", "unasked", "drain", "budget", "mixed",
-        "coverage", "limit"], help="forge one violation, to see it noticed")
+        "coverage", "limit", "crash"], help="forge one violation, to see it noticed")
     options = parser.parse_args()
     # Every third seed has one zone of nine, in which three gather for all.
     large = options.seed % 3 == 0
