--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -78,11 +78,10 @@
     LrFingerprint_ToText(record->fingerprint, &text);
     LrTime left = record->expires_at - LrClock_Now();
     json_array_append_new(
-        list,
-        json_pack("{s:s, s:s, s:b, s:i, s:I}", "fingerprint", text.content,
-                  "caller", text.caller, "condemned", record->quarantined,
-                  "crashes", (int)record->n_crashes, "left_ms",
-                  (json_int_t)(left / LR_MILLISECOND)));
+        list, json_pack("{s:s, s:s, s:b, s:i, s:I}", "fingerprint",
+                        text.content, "caller", text.caller, "condemned",
+                        record->quarantined, "crashes", (int)record->n_crashes,
+                        "left_ms", (json_int_t)(left / LR_MILLISECOND)));
 }
 
 static json_t *
