--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -204,6 +204,36 @@
         << innocents->n_served << " of " << innocents->n_sent;
 }
 
+TEST_F(CrashingRequests, OfTwoKindsAtOnceAreBothRefused)
+{
+    ASSERT_NO_FATAL_FAILURE(make(30700));
+    fleet->control(down_for("/c/crash", false));
+    fleet->control(down_for("/w/crash", true));
+    for (int i = 0; i < 3 * n_daemons; i++) {
+        ask(1 + i % n_daemons, i % 2 ? "/c/crash" : "/w/crash");
+        ask(1 + i % n_daemons, i % 2 ? "/w/crash" : "/c/crash");
+    }
+    EXPECT_LE(crashes("/c/crash"), MAX_CRASHES);
+    EXPECT_LE(crashes("/w/crash"), MAX_CRASHES);
+    expect_refused_by_all("/c/crash");
+    expect_refused_by_all("/w/crash");
+}
+
+TEST_F(CrashingRequests, AreRefusedWhereOneTargetIsLeft)
+{
+    ASSERT_NO_FATAL_FAILURE(make(30900));
+    for (int i = 2; i <= 5; i++) {
+        std::string id = "c" + std::to_string(i);
+        fleet->control("entry?id=" + id);
+        fleet->fault(id, "stop", 1);
+    }
+    fleet->control("crash?target=/c/crash&for_ms=1000");
+    repeat("/c/crash", 40);
+    EXPECT_LE(crashes("/c/crash"), MAX_CRASHES);
+    expect_refused_by_all("/c/crash");
+    EXPECT_EQ(fleet->ask(1, "/c/other", "other").status, 200);
+}
+
 TEST_F(CrashingRequests, ARestartedDaemonLearnsOfThem)
 {
     ASSERT_NO_FATAL_FAILURE(make(30300));
