list_watch: log: a list that is not newer than the active values

Cause: after a restore of the store the log shows source_history_gone again and again, and not why the list that follows it is without effect. Change: source_behind, with the revision read and the active one.

--- a/liblavenderrail/list_watch.c
+++ b/liblavenderrail/list_watch.c
@@ -294,6 +294,11 @@
                        LrTime now)
 {
     bool behind = list_watch->watch_revision < LrValueSet_Revision(base);
+    if (behind && list_watch->changed && list_watch->listed) {
+        LR_LOG(list_watch->config.log, LOG_NOTICE, "source_behind",
+               LrLog_Int("revision", list_watch->watch_revision),
+               LrLog_Int("active", LrValueSet_Revision(base)));
+    }
     bool has_update = list_watch->changed && list_watch->listed && !behind;
     LrValueSet *values = NULL;
     if (has_update) {
