--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -18,8 +18,10 @@
  *                                  down for that time; with open=1 its port
  *                                  stays open and resets what it is sent. 0 ms
  *                                  ends it
- *   POST /control/store?name&value sets a fault (down, lose) or drops the
- *                                  history (compact)
+ *   POST /control/store?name&value sets a fault (down, lose), drops the
+ *                                  history (compact), takes a copy (copy),
+ *                                  goes back to it (restore), or writes again
+ *                                  what was lost by that (rewrite)
  *   GET  /control/runs             requests run by searchers, oldest first */
 #include <stdlib.h>
 #include <string.h>
@@ -73,6 +75,13 @@
     int64_t compacted_revision;
     bool down;
     bool lose;
+    /* Number of times that the store has been started from a copy, plus one.
+     */
+    int64_t era;
+    /* The copy, and the last writes of each key since, in order. */
+    GHashTable *copied_items;
+    int64_t copied_revision;
+    GPtrArray *lost;
     GPtrArray *waiters;
     GHashTable *searchers;
     /* Crash by request target. */
@@ -210,6 +219,81 @@
     }
 }
 
+static void
+copy_items(GHashTable *from, GHashTable *to)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_remove_all(to);
+    g_hash_table_iter_init(&iter, from);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Item *item = value;
+        item->refs++;
+        g_hash_table_replace(to, item->key, item);
+    }
+}
+
+static void
+take_copy(Standin *standin)
+{
+    copy_items(standin->items, standin->copied_items);
+    standin->copied_revision = standin->revision;
+}
+
+static void
+remove_key(GPtrArray *items, const char *key)
+{
+    for (guint i = 0; i < items->len; i++) {
+        if (!strcmp(((const Item *)items->pdata[i])->key, key)) {
+            g_ptr_array_remove_index(items, i);
+            return;
+        }
+    }
+}
+
+/* Goes back to the copy, as a store does that has lost its data: revisions are
+ * given out again, and waiting watches are cut off. */
+static void
+restore_copy(Standin *standin)
+{
+    GPtrArray *events = standin->events;
+    g_ptr_array_set_size(standin->lost, 0);
+    for (guint i = 0; i < events->len; i++) {
+        Item *item = events->pdata[i];
+        if (item->revision > standin->copied_revision) {
+            remove_key(standin->lost, item->key);
+            item->refs++;
+            g_ptr_array_add(standin->lost, item);
+        }
+    }
+    while (events->len > 0 &&
+           ((const Item *)events->pdata[events->len - 1])->revision >
+               standin->copied_revision) {
+        g_ptr_array_set_size(events, (gint)events->len - 1);
+    }
+    copy_items(standin->copied_items, standin->items);
+    standin->revision = standin->copied_revision;
+    standin->compacted_revision =
+        MIN(standin->compacted_revision, standin->revision);
+    standin->era++;
+    while (standin->waiters->len > 0) {
+        Waiter *waiter = g_ptr_array_steal_index(standin->waiters, 0);
+        LrLoopTimers_Clear(standin->timers, &waiter->timer);
+        LrExchange_Drop(waiter->exchange);
+        g_free(waiter);
+    }
+}
+
+static void
+rewrite_lost(Standin *standin)
+{
+    for (guint i = 0; i < standin->lost->len; i++) {
+        const Item *item = standin->lost->pdata[i];
+        write_item(standin, item->key, item->value);
+    }
+    g_ptr_array_set_size(standin->lost, 0);
+}
+
 static void
 reply_range(Standin *standin, LrExchange *exchange)
 {
@@ -237,7 +321,7 @@
 start_watch(Standin *standin, LrExchange *exchange)
 {
     int64_t after = int_argument(exchange, "after");
-    if (after < standin->compacted_revision) {
+    if (after < standin->compacted_revision || after > standin->revision) {
         reply_json(exchange, 410, NULL);
         return;
     }
@@ -657,6 +741,15 @@
         standin->compacted_revision = standin->revision;
         g_ptr_array_set_size(standin->events, 0);
     }
+    else if (!strcmp(name, "copy")) {
+        take_copy(standin);
+    }
+    else if (!strcmp(name, "restore")) {
+        restore_copy(standin);
+    }
+    else if (!strcmp(name, "rewrite")) {
+        rewrite_lost(standin);
+    }
     else {
         reply_json(exchange, 404, NULL);
         return;
@@ -701,6 +794,8 @@
 {
     Standin *standin = data;
     LrStr path = LrExchange_Path(exchange);
+    g_autofree char *era = g_strdup_printf("%" G_GINT64_FORMAT, standin->era);
+    LrExchange_AddHeader(exchange, "Store-Era", era);
     if (LrStr_EqualC(path, "/control/runs")) {
         reply_json(exchange, 200, json_pack("{s:O}", "runs", standin->runs));
     }
@@ -740,6 +835,8 @@
     g_hash_table_unref(standin->searchers);
     g_hash_table_unref(standin->crashes);
     g_hash_table_unref(standin->items);
+    g_hash_table_unref(standin->copied_items);
+    g_ptr_array_unref(standin->lost);
     g_ptr_array_unref(standin->events);
     g_ptr_array_unref(standin->waiters);
     json_decref(standin->runs);
@@ -754,6 +851,9 @@
     standin.items =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_item);
     standin.events = g_ptr_array_new_with_free_func(unref_item);
+    standin.copied_items =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_item);
+    standin.lost = g_ptr_array_new_with_free_func(unref_item);
     standin.waiters = g_ptr_array_new();
     standin.searchers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_searcher);
@@ -761,6 +861,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     standin.runs = json_array();
     standin.revision = 1;
+    standin.era = 1;
     LrServerConfig config = {
         .loop = standin.loop,
         .address = LrStr_FromC(address),
