list_watch, platform: versions of values are ordered by the store's era first

Cause: revisions were taken as a measure of age. Where the new revisions had passed the old ones, the changes between were missed.

Change: a version is the era (Store-Era) and the revision; it travels between daemons as the one number that they had. A watch answered from another era, or a list with pages of two, is read anew. Reads that give no position to watch from back off. An older era reverts nothing.

--- a/liblavenderrail/list_watch.c
+++ b/liblavenderrail/list_watch.c
@@ -11,6 +11,10 @@
  * changes are returned in one batch. */
 #define EVENT_BATCH_DELAY (250 * LR_MILLISECOND)
 
+/* Revisions of values are ERA_FACTOR times the era, plus the revision of the
+ * service. */
+#define ERA_FACTOR (LR_LIST_WATCH_MAX_REVISION + 1)
+
 struct LrListWatch {
     LrListWatchConfig config;
     bool reading;
@@ -22,11 +26,16 @@
      * revision is compacted, or newer values were rejected. */
     bool relist_required;
     char *after_key;
-    int64_t list_revision;
+    LrListWatchPosition list_position;
     /* Items of the list so far, or changes since the last set of values. */
     GHashTable *pending_items;
     bool list_complete;
+    /* Revision of the values, and the position that the last watch was sent
+     * for. */
     int64_t watch_revision;
+    int64_t watched_from;
+    /* Watches without history since the last one that was answered. */
+    unsigned n_compacted;
     bool changed;
     LrTime last_success_at;
     LrTime failing_since;
@@ -48,6 +57,18 @@
     g_free(item);
 }
 
+int64_t
+LrListWatch_Version(int64_t era, int64_t revision)
+{
+    return era * ERA_FACTOR + revision;
+}
+
+static int64_t
+era_of(int64_t version)
+{
+    return version / ERA_FACTOR;
+}
+
 LrListWatch *
 LrListWatch_New(const LrListWatchConfig *config)
 {
@@ -106,8 +127,9 @@
     }
     call.kind = LR_LIST_WATCH_WATCH;
     call.long_poll = list_watch->failing_since == 0;
-    call.after_revision =
+    list_watch->watched_from =
         MAX(list_watch->watch_revision, LrValueSet_Revision(base));
+    call.after_revision = list_watch->watched_from % ERA_FACTOR;
     return call;
 }
 
@@ -130,16 +152,18 @@
 }
 
 static void
-store_item(LrListWatch *list_watch, const LrListWatchItem *received)
+store_item(LrListWatch *list_watch, int64_t era,
+           const LrListWatchItem *received)
 {
+    int64_t revision = LrListWatch_Version(era, received->revision);
     char *name = LrStr_Dup(received->name);
     const Item *known = g_hash_table_lookup(list_watch->pending_items, name);
-    if (known && known->revision > received->revision) {
+    if (known && known->revision > revision) {
         g_free(name);
         return;
     }
     Item *item = g_new0(Item, 1);
-    item->revision = received->revision;
+    item->revision = revision;
     item->text = LrStr_Dup(received->text);
     item->len = received->text.len;
     g_hash_table_replace(list_watch->pending_items, name, item);
@@ -157,21 +181,77 @@
     list_watch->list_complete = false;
 }
 
+/* Delay of the next call after this many ones in turn that gave nothing. */
+static LrTime
+backoff_time(LrListWatch *list_watch, unsigned n)
+{
+    LrTime backoff = list_watch->config.initial_backoff << MIN(n, 8);
+    double jitter = 0.5 + LrRandom_Uniform(list_watch->config.random);
+    return (LrTime)((double)MIN(backoff, MAX_BACKOFF) * jitter);
+}
+
+void
+LrListWatch_OnFailure(LrListWatch *list_watch, LrTime now, const char *why)
+{
+    LrCounters_Add(list_watch->config.counters, LR_COUNT_SOURCE_FAILURES, 1);
+    if (list_watch->failing_since == 0) {
+        list_watch->failing_since = now;
+        LR_LOG(list_watch->config.log, LOG_WARNING, "source_lost",
+               LrLog_CStr("why", why),
+               LrLog_Int("revision", list_watch->watch_revision));
+    }
+    LR_LOG(list_watch->config.log, LOG_INFO, "source_call_failed",
+           LrLog_CStr("why", why),
+           LrLog_Int("failures", list_watch->failures + 1));
+    list_watch->not_before =
+        now + backoff_time(list_watch, list_watch->failures);
+    list_watch->failures++;
+}
+
+/* A service whose era is lower than that of the active values has nothing
+ * newer than they are. */
+static bool
+is_of_older_era(LrListWatch *list_watch, LrTime now, int64_t era)
+{
+    if (era >= era_of(list_watch->watched_from)) {
+        return false;
+    }
+    LrListWatch_OnFailure(list_watch, now, "older era");
+    return true;
+}
+
+/* The service was restored since the values were read, or between two pages:
+ * they have to be listed. */
+static void
+on_new_era(LrListWatch *list_watch, LrTime now, int64_t era)
+{
+    LR_LOG(list_watch->config.log, LOG_WARNING, "source_restored",
+           LrLog_Int("era", era),
+           LrLog_Int("revision", list_watch->watch_revision));
+    restart_list(list_watch);
+    list_watch->not_before = now;
+}
+
 void
 LrListWatch_OnPage(LrListWatch *list_watch, LrTime now,
                    const LrListWatchItem *items, size_t n_items,
-                   const char *last_key, bool more, int64_t revision)
+                   const char *last_key, bool more,
+                   LrListWatchPosition position)
 {
     record_success(list_watch, now);
+    if (list_watch->listing && position.era != list_watch->list_position.era) {
+        on_new_era(list_watch, now, position.era);
+        return;
+    }
     if (!list_watch->listing) {
         g_hash_table_remove_all(list_watch->pending_items);
         list_watch->listing = true;
         /* The pages of a list are read at different revisions: the watch has
          * to start from that of the first page. */
-        list_watch->list_revision = revision;
+        list_watch->list_position = position;
     }
     for (size_t i = 0; i < n_items; i++) {
-        store_item(list_watch, &items[i]);
+        store_item(list_watch, position.era, &items[i]);
     }
     g_free(list_watch->after_key);
     list_watch->after_key = g_strdup(last_key);
@@ -185,30 +265,56 @@
     list_watch->relist_required = false;
     list_watch->list_complete = true;
     list_watch->changed = true;
-    list_watch->watch_revision = list_watch->list_revision;
+    list_watch->watch_revision = LrListWatch_Version(
+        list_watch->list_position.era, list_watch->list_position.revision);
 }
 
 void
 LrListWatch_OnEvents(LrListWatch *list_watch, LrTime now,
                      const LrListWatchItem *items, size_t n_items,
-                     int64_t revision)
+                     LrListWatchPosition position)
 {
+    if (is_of_older_era(list_watch, now, position.era)) {
+        return;
+    }
     record_success(list_watch, now);
+    if (position.era != era_of(list_watch->watched_from)) {
+        on_new_era(list_watch, now, position.era);
+        return;
+    }
+    list_watch->n_compacted = 0;
     for (size_t i = 0; i < n_items; i++) {
-        store_item(list_watch, &items[i]);
+        store_item(list_watch, position.era, &items[i]);
     }
-    list_watch->watch_revision = MAX(list_watch->watch_revision, revision);
+    list_watch->watch_revision =
+        MAX(list_watch->watch_revision,
+            LrListWatch_Version(position.era, position.revision));
     list_watch->not_before = n_items > 0 ? now + EVENT_BATCH_DELAY : now;
 }
 
 void
-LrListWatch_OnCompacted(LrListWatch *list_watch, LrTime now)
+LrListWatch_OnCompacted(LrListWatch *list_watch, LrTime now, int64_t era)
 {
+    if (is_of_older_era(list_watch, now, era)) {
+        return;
+    }
     record_success(list_watch, now);
-    LR_LOG(list_watch->config.log, LOG_NOTICE, "source_history_gone",
-           LrLog_Int("revision", list_watch->watch_revision));
-    restart_list(list_watch);
-    list_watch->not_before = now;
+    if (era != era_of(list_watch->watched_from)) {
+        on_new_era(list_watch, now, era);
+    }
+    else {
+        LR_LOG(list_watch->config.log, LOG_NOTICE, "source_history_gone",
+               LrLog_Int("revision", list_watch->watch_revision));
+        restart_list(list_watch);
+        list_watch->not_before = now;
+    }
+    /* A list that gave no position to watch from doesn't do so if it is read
+     * again at once. */
+    if (list_watch->n_compacted > 0) {
+        list_watch->not_before +=
+            backoff_time(list_watch, list_watch->n_compacted - 1);
+    }
+    list_watch->n_compacted++;
 }
 
 void
@@ -218,27 +324,6 @@
     list_watch->not_before = now + MAX_BACKOFF;
 }
 
-void
-LrListWatch_OnFailure(LrListWatch *list_watch, LrTime now, const char *why)
-{
-    LrCounters_Add(list_watch->config.counters, LR_COUNT_SOURCE_FAILURES, 1);
-    if (list_watch->failing_since == 0) {
-        list_watch->failing_since = now;
-        LR_LOG(list_watch->config.log, LOG_WARNING, "source_lost",
-               LrLog_CStr("why", why),
-               LrLog_Int("revision", list_watch->watch_revision));
-    }
-    LR_LOG(list_watch->config.log, LOG_INFO, "source_call_failed",
-           LrLog_CStr("why", why),
-           LrLog_Int("failures", list_watch->failures + 1));
-    LrTime backoff = list_watch->config.initial_backoff
-                     << MIN(list_watch->failures, 8);
-    double jitter = 0.5 + LrRandom_Uniform(list_watch->config.random);
-    list_watch->failures++;
-    list_watch->not_before =
-        now + (LrTime)((double)MIN(backoff, MAX_BACKOFF) * jitter);
-}
-
 static void
 hold_or_remove(LrListWatch *list_watch, LrValueSet *values, const char *name,
                LrTime now)
--- a/liblavenderrail/list_watch.h
+++ b/liblavenderrail/list_watch.h
@@ -4,7 +4,11 @@
  * the set of values to activate.
  *
  * Entries that are missing after an outage of the service are held for a
- * while, since their owners may not have renewed their leases yet. */
+ * while, since their owners may not have renewed their leases yet.
+ *
+ * A service that is restored from a copy loses its latest changes and gives
+ * their revisions out again. It counts its eras, one for each restore; values
+ * are ordered by era first (LrListWatch_Version). */
 #ifndef LAVENDERRAIL_LIST_WATCH_H
 #define LAVENDERRAIL_LIST_WATCH_H
 
@@ -29,11 +33,19 @@
 
 typedef struct {
     LrStr name;
+    /* As the service counts. */
     int64_t revision;
     /* Empty when the value was removed. */
     LrStr text;
 } LrListWatchItem;
 
+/* State of the service that a response shows. */
+typedef struct {
+    /* 0 for a service without eras. */
+    int64_t era;
+    int64_t revision;
+} LrListWatchPosition;
+
 typedef enum {
     LR_LIST_WATCH_IDLE,
     LR_LIST_WATCH_LIST,
@@ -47,13 +59,20 @@
     /* For a list: the page after this key of the service; NULL for the first
      * page. Borrowed. */
     const char *after_key;
-    /* For a watch: return changes after this revision, and whether the call
-     * may wait for them. While the service fails, calls don't wait, so that
-     * its recovery is noticed at once. */
+    /* For a watch: return changes after this revision of the service, and
+     * whether the call may wait for them. While the service fails, calls don't
+     * wait, so that its recovery is noticed at once. */
     int64_t after_revision;
     bool long_poll;
 } LrListWatchCall;
 
+/* Most eras and revisions of a service that can be told apart. */
+#define LR_LIST_WATCH_MAX_ERA 1000000
+#define LR_LIST_WATCH_MAX_REVISION 999999999999
+
+/* Revision of values that were read at a revision of the service in an era of
+ * it: grows with both. In decimal digits the last twelve are the revision. */
+int64_t LrListWatch_Version(int64_t era, int64_t revision);
 LrListWatch *LrListWatch_New(const LrListWatchConfig *config);
 void LrListWatch_Free(LrListWatch *list_watch);
 /* Starts or stops reading; initially off. */
@@ -65,12 +84,13 @@
  * whether another page follows. */
 void LrListWatch_OnPage(LrListWatch *list_watch, LrTime now,
                         const LrListWatchItem *items, size_t n_items,
-                        const char *last_key, bool more, int64_t revision);
+                        const char *last_key, bool more,
+                        LrListWatchPosition position);
 void LrListWatch_OnEvents(LrListWatch *list_watch, LrTime now,
                           const LrListWatchItem *items, size_t n_items,
-                          int64_t revision);
-/* The service has compacted the history that the watch needs. */
-void LrListWatch_OnCompacted(LrListWatch *list_watch, LrTime now);
+                          LrListWatchPosition position);
+/* The service doesn't have the history that the watch needs. */
+void LrListWatch_OnCompacted(LrListWatch *list_watch, LrTime now, int64_t era);
 void LrListWatch_OnFailure(LrListWatch *list_watch, LrTime now,
                            const char *why);
 /* New values to activate in place of base; NULL when there are none. */
--- a/tests/test_list_watch.cc
+++ b/tests/test_list_watch.cc
@@ -43,7 +43,7 @@
          bool more = false, const char *last = "")
     {
         LrListWatch_OnPage(list_watch, now, items.data(), items.size(), last,
-                           more, revision);
+                           more, {era, revision});
         take();
     }
 
@@ -51,7 +51,7 @@
     events(const std::vector<LrListWatchItem> &items, int64_t revision)
     {
         LrListWatch_OnEvents(list_watch, now, items.data(), items.size(),
-                             revision);
+                             {era, revision});
         take();
     }
 
@@ -104,6 +104,7 @@
     LrListWatch *list_watch;
     LrValueSet *base;
     LrTime now = 100 * LR_SECOND;
+    int64_t era = 0;
 };
 
 } // namespace
@@ -137,7 +138,7 @@
 {
     page({item("a", 3, "1")}, 10);
     LrListWatchItem items[] = {item("a", 12, "new"), item("a", 11, "old")};
-    LrListWatch_OnEvents(list_watch, now, items, 2, 12);
+    LrListWatch_OnEvents(list_watch, now, items, 2, {era, 12});
     take();
     EXPECT_EQ(text("a"), "new");
 }
@@ -145,7 +146,7 @@
 TEST_F(ListWatch, ListsAgainAfterCompaction)
 {
     page({item("a", 3, "1"), item("b", 4, "2")}, 10);
-    LrListWatch_OnCompacted(list_watch, now);
+    LrListWatch_OnCompacted(list_watch, now, era);
     EXPECT_EQ(next().kind, LR_LIST_WATCH_LIST);
     EXPECT_EQ(next().after_key, nullptr);
     page({item("b", 4, "2")}, 20);
@@ -251,7 +252,85 @@
     LrValueSet_SetRevision(base, 9);
     EXPECT_EQ(LrListWatch_NextCall(list_watch, base, now).kind,
               LR_LIST_WATCH_WATCH);
-    LrListWatch_OnCompacted(list_watch, now);
+    LrListWatch_OnCompacted(list_watch, now, era);
     EXPECT_EQ(LrListWatch_NextCall(list_watch, base, now).kind,
               LR_LIST_WATCH_LIST);
 }
+
+// The next five: the service was restored from a copy, so its revisions went
+// back.
+TEST_F(ListWatch, TheListOfARestoredServiceReplacesNewerRevisions)
+{
+    page({item("a", 3, "1"), item("b", 50, "lost")}, 50);
+    EXPECT_EQ(next().after_revision, 50);
+    era = 1;
+    LrListWatch_OnCompacted(list_watch, now, era);
+    EXPECT_EQ(next().kind, LR_LIST_WATCH_LIST);
+    page({item("a", 3, "1"), item("b", 49, "again")}, 49);
+    EXPECT_EQ(text("b"), "again");
+    EXPECT_EQ(next().kind, LR_LIST_WATCH_WATCH);
+    EXPECT_EQ(next().after_revision, 49);
+    events({item("b", 50, "new")}, 50);
+    EXPECT_EQ(text("b"), "new");
+}
+
+TEST_F(ListWatch, ChangesOfARestoredServiceThatHasCaughtUpAreNotApplied)
+{
+    page({item("a", 3, "1"), item("b", 50, "lost")}, 50);
+    EXPECT_EQ(next().after_revision, 50);
+    era = 1;
+    // Revisions 40 to 50 have other contents now.
+    events({item("c", 51, "3")}, 51);
+    EXPECT_EQ(text("c"), "");
+    EXPECT_EQ(next().kind, LR_LIST_WATCH_LIST);
+    page({item("a", 45, "2"), item("b", 50, "again"), item("c", 51, "3")}, 51);
+    EXPECT_EQ(text("a"), "2");
+    EXPECT_EQ(text("b"), "again");
+    EXPECT_EQ(text("c"), "3");
+}
+
+TEST_F(ListWatch, PagesOfTwoErasAreNotOneList)
+{
+    era = 4;
+    page({item("a", 60, "lost")}, 60, true, "key-a");
+    era = 5;
+    page({item("b", 9, "2")}, 10);
+    EXPECT_EQ(text("a"), "");
+    EXPECT_EQ(next().kind, LR_LIST_WATCH_LIST);
+    EXPECT_EQ(next().after_key, nullptr);
+    page({item("a", 3, "1"), item("b", 9, "2")}, 10);
+    EXPECT_EQ(text("a"), "1");
+    EXPECT_EQ(text("b"), "2");
+}
+
+TEST_F(ListWatch, AnOlderEraRevertsNothing)
+{
+    era = 2;
+    page({item("a", 3, "1")}, 10);
+    EXPECT_EQ(next().after_revision, 10);
+    for (int i = 0; i < 5; i++) {
+        era = 1;
+        events({item("a", 90, "old")}, 90);
+        EXPECT_EQ(text("a"), "1");
+        EXPECT_GT(next().not_before, now);
+        LrListWatch_OnCompacted(list_watch, now, era);
+        EXPECT_EQ(next().kind, LR_LIST_WATCH_WATCH);
+        EXPECT_GT(next().not_before, now);
+    }
+}
+
+TEST_F(ListWatch, ListsThatGiveNoPositionToWatchFromAreReadWithPauses)
+{
+    LrValueSet_SetRevision(base, 90);
+    LrTime waited = 0;
+    for (int i = 0; i < 10; i++) {
+        EXPECT_EQ(next().kind, LR_LIST_WATCH_WATCH);
+        LrListWatch_OnCompacted(list_watch, now, era);
+        LrTime wait = next().not_before - now;
+        waited += wait;
+        now += wait;
+        EXPECT_EQ(next().kind, LR_LIST_WATCH_LIST);
+        page({item("a", 3, "1")}, 49);
+    }
+    EXPECT_GT(waited, 4 * LR_SECOND);
+}
