routing: the version of the configuration never goes back

Callers got 404 on routes that had been served, on all daemons, from the return of a restored store until the operator had written again.

Cause: whatever configuration the store has was taken. Its order against the active one was left to the store's revisions, which say nothing about a copy.

Change: versions of configurations only rise, so routes of a lower version are not used, wherever they come from; targets are those of the store. Logged as configuration_kept.

--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -270,6 +270,10 @@
         .idle_timeout = spec->idle_timeout_ms * LR_MILLISECOND,
     };
     LrCallerServer_SetLimits(gateway->caller_server, &limits);
+    if (LrRouting_IsHeld(catalogue)) {
+        LR_LOG(gateway->daemon->log, LOG_WARNING, "configuration_kept",
+               LrLog_Int("version", spec->version));
+    }
 }
 
 static LrCallerServer *
--- a/liblavenderrail/routing.c
+++ b/liblavenderrail/routing.c
@@ -41,6 +41,8 @@
 /* What a catalogue was built from; attached to it. */
 typedef struct {
     LrRoutes *routes;
+    /* The store has routes of a lower version. */
+    bool is_held;
     /* Instances by the name of their value in the store. */
     GHashTable *instances;
 } Routing;
@@ -334,16 +336,30 @@
     return routes;
 }
 
+static LrRoutes *
+reuse_routes(const Routing *previous)
+{
+    previous->routes->refs++;
+    return previous->routes;
+}
+
 /* Reuses the previous routes if the configuration has not changed: nothing is
- * parsed again, and the weighted round robin goes on where it was. */
+ * parsed again, and the weighted round robin goes on where it was. They are
+ * also kept if the configuration has a lower version, as that of a store which
+ * was restored from a copy. */
 static LrRoutes *
 reuse_or_parse_routes(const Routing *previous, LrStr text, LrFaults *faults)
 {
     if (previous && LrStr_EqualC(text, previous->routes->text)) {
-        previous->routes->refs++;
-        return previous->routes;
+        return reuse_routes(previous);
+    }
+    LrRoutes *routes = parse_routes(text, faults);
+    if (routes && previous &&
+        routes->spec.version < previous->routes->spec.version) {
+        unref_routes(routes);
+        return reuse_routes(previous);
     }
-    return parse_routes(text, faults);
+    return routes;
 }
 
 static void
@@ -396,6 +412,7 @@
     builder.result->routes = routes;
     builder.result->instances =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_instance);
+    builder.result->is_held = !LrStr_EqualC(text, routes->text);
     builder.spec.revision = LrValueSet_Revision(store);
     LrValueSet_Each(store, add_instance, &builder);
     build_services(&builder);
@@ -414,6 +431,13 @@
     return routing ? routing->routes : NULL;
 }
 
+bool
+LrRouting_IsHeld(const LrCatalogue *catalogue)
+{
+    const Routing *routing = catalogue->attached;
+    return routing && routing->is_held;
+}
+
 const LrRoutingSpec *
 LrRoutes_Spec(const LrRoutes *routes)
 {
--- a/liblavenderrail/routing.h
+++ b/liblavenderrail/routing.h
@@ -35,12 +35,17 @@
 
 /* Builds the catalogue of a store that holds routes: an entry for each backend
  * of each route. The routes are attached to it. What has not changed since the
- * previous catalogue, which may be NULL, is shared with it. Returns NULL if
+ * previous catalogue, which may be NULL, is shared with it. The version of the
+ * configuration never goes back: of a lower one only the targets are used.
+ * Returns NULL if
  * the store has no configuration; NULL and the faults if it is invalid. */
 LrCatalogue *LrRouting_Build(const LrValueSet *store,
                              const LrCatalogue *previous, LrFaults *faults);
 /* Routes of a catalogue; NULL if it was not built from routes. */
 LrRoutes *LrRouting_Routes(const LrCatalogue *catalogue);
+/* Whether the routes are those of an earlier catalogue, since the store has a
+ * configuration of a lower version. */
+bool LrRouting_IsHeld(const LrCatalogue *catalogue);
 const LrRoutingSpec *LrRoutes_Spec(const LrRoutes *routes);
 /* The route that matches a request; host may include a port. NULL if none
  * does. */
--- a/tests/test_restored_store.cc
+++ b/tests/test_restored_store.cc
@@ -1,7 +1,5 @@
 // A store that comes back from a copy, with real processes: what was written
 // after the copy was taken is lost, and revisions are given out again.
-#include <set>
-
 #include "routed.h"
 
 namespace {
@@ -65,8 +63,7 @@
                 in_force = has(i, version);
                 std::this_thread::sleep_for(std::chrono::milliseconds(50));
             }
-            EXPECT_TRUE(in_force)
-                << "daemon " << i << ", version " << version;
+            EXPECT_TRUE(in_force) << "daemon " << i << ", version " << version;
         }
     }
     int64_t
@@ -82,21 +79,6 @@
         json_decref(json);
         return reads;
     }
-    // Searchers that run requests of a path, asked for often.
-    std::set<std::string>
-    targets_of(const std::string &path)
-    {
-        std::set<std::string> targets;
-        for (int i = 0; i < 60; i++) {
-            std::string id = "t" + std::to_string(n_asked++);
-            fleet->ask(1 + i % N_DAEMONS, path, id);
-            for (const std::string &target : fleet->runs(id)) {
-                targets.insert(target);
-            }
-        }
-        return targets;
-    }
-
     std::unique_ptr<RoutedFleet> fleet;
     int n_asked = 0;
 };
@@ -129,3 +111,24 @@
     // A watch waits a second.
     EXPECT_LE(config_reads(1) - before, 6);
 }
+
+TEST_F(RestoredStore, DoesNotRevertTheConfiguration)
+{
+    ASSERT_NO_FATAL_FAILURE(make(31500));
+    store("copy");
+    put(2);
+    expect_in_force(2);
+    store("restore");
+    for (int i = 0; i < 20; i++) {
+        for (int daemon = 1; daemon <= N_DAEMONS; daemon++) {
+            EXPECT_TRUE(has(daemon, 2)) << daemon << ", " << i;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    store("rewrite");
+    put(3);
+    expect_in_force(3);
+    for (int daemon = 1; daemon <= N_DAEMONS; daemon++) {
+        EXPECT_TRUE(has(daemon, 2)) << daemon;
+    }
+}
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -253,3 +253,27 @@
     EXPECT_EQ(LrRoute_FindEntry(route, LrStr_FromC("all#0")).len, 0U);
     EXPECT_EQ(LrRoute_FindEntry(route, LrStr_FromC("")).len, 0U);
 }
+
+TEST_F(Routing, AConfigurationOfALowerVersionIsNotUsed)
+{
+    build();
+    std::string older = CONFIG;
+    older.replace(older.find("\"version\": 7"), 12, "\"version\": 6");
+    older.replace(older.find("deep"), 4, "shallow");
+    LrValueSet_SetRevision(store, 11);
+    LrValueSet_Set(store, LR_ROUTING_VALUE, 11, {older.data(), older.size()});
+    add_target("1");
+    build();
+    ASSERT_TRUE(catalogue);
+    EXPECT_EQ(lookup("a.example", "/x/y/z"), "deep");
+    EXPECT_TRUE(LrRouting_IsHeld(catalogue));
+    EXPECT_EQ(catalogue->spec.revision, 11);
+    ASSERT_TRUE(first_target()) << "targets are those of the store";
+    std::string newer = CONFIG;
+    newer.replace(newer.find("\"version\": 7"), 12, "\"version\": 8");
+    newer.replace(newer.find("deep"), 4, "newer");
+    LrValueSet_Set(store, LR_ROUTING_VALUE, 12, {newer.data(), newer.size()});
+    build();
+    EXPECT_EQ(lookup("a.example", "/x/y/z"), "newer");
+    EXPECT_FALSE(LrRouting_IsHeld(catalogue));
+}
