value_set, list_watch, fleet: targets of a restored store are as old as the copy

After a restore, targets that had left were sent requests again on all daemons, and targets that had arrived since the copy were unknown, until each had written again.

Cause: the list of a restored store was taken as the newest word, while the active values may be newer than its copy.

--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -12,6 +12,7 @@
 #include "limited_targets.h"
 #include "zone_detector.h"
 #include "readers.h"
+#include "routing.h"
 
 /* Rows of each kind that are piggybacked on one probe. */
 enum {
@@ -357,9 +358,10 @@
     if (message->revision <= active_revision(daemon)) {
         return;
     }
-    LrValueSet *values = LrValueSet_ApplyDelta(
-        LrActiveCatalogue_Values(daemon->active_catalogue), message,
-        LrClock_Now());
+    LrTime now = LrClock_Now();
+    const LrValueSet *base =
+        LrActiveCatalogue_Values(daemon->active_catalogue);
+    LrValueSet *values = LrValueSet_ApplyDelta(base, message, now);
     daemon->need_full_copy = values == NULL;
     if (!values) {
         LR_LOG(daemon->log, LOG_WARNING, "delta_unfit",
@@ -367,6 +369,12 @@
                LrLog_Int("since", message->since));
         return;
     }
+    if (LrRevision_Era(message->revision) >
+        LrRevision_Era(LrValueSet_Revision(base))) {
+        LrValueSet_HoldNewer(values, base, LR_INSTANCE_PREFIX, now,
+                             daemon->settings.absence_hold_ms *
+                                 LR_MILLISECOND);
+    }
     LrActiveCatalogue_Offer(daemon->active_catalogue, values, "peer");
 }
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -290,7 +290,19 @@
  * g_free. */
 char *LrCatalogue_Diff(const LrCatalogue *from, const LrCatalogue *to);
 
-/* value_set.c: the named values of a catalogue, with their revisions. */
+/* value_set.c: the named values of a catalogue, with their revisions.
+ *
+ * A configuration service that is restored from a copy gives revisions out
+ * again and counts its eras, one for each restore. The revision of a value or
+ * of a set grows with the era first and with the service's own revision then:
+ * its last twelve decimal digits are the latter. */
+#define LR_MAX_ERA 1000000
+#define LR_MAX_SERVICE_REVISION 999999999999
+
+int64_t LrRevision_Make(int64_t era, int64_t service_revision);
+int64_t LrRevision_Era(int64_t revision);
+int64_t LrRevision_OfService(int64_t revision);
+
 typedef struct LrValueSet LrValueSet;
 
 LrValueSet *LrValueSet_New(void);
@@ -308,6 +320,14 @@
  * again. */
 void LrValueSet_Hold(LrValueSet *set, const char *name, int64_t revision,
                      LrTime until);
+/* For a set of a later era than base: keeps using those values of base whose
+ * names begin with prefix and that may be newer than what the copy holds,
+ * until they are set again or for some seconds. So those that are missing are
+ * kept for absence_hold, and those that base has removed stay out of use.
+ * Returns how many differ from the set. */
+size_t LrValueSet_HoldNewer(LrValueSet *set, const LrValueSet *base,
+                            const char *prefix, LrTime now,
+                            LrTime absence_hold);
 /* Time when the next hold ends; LR_NEVER for none. */
 LrTime LrValueSet_NextHoldExpiry(const LrValueSet *set);
 /* Drops the held values whose hold time is over. */
--- a/liblavenderrail/list_watch.c
+++ b/liblavenderrail/list_watch.c
@@ -1,6 +1,8 @@
 /* List-then-watch reader of a versioned key-value service. */
 #include "list_watch.h"
 
+#include "routing.h"
+
 /* Limits the load on the service during an outage to about one call a second
  * from each host. */
 #define MAX_BACKOFF LR_SECOND
@@ -11,10 +13,6 @@
  * changes are returned in one batch. */
 #define EVENT_BATCH_DELAY (250 * LR_MILLISECOND)
 
-/* Revisions of values are ERA_FACTOR times the era, plus the revision of the
- * service. */
-#define ERA_FACTOR (LR_LIST_WATCH_MAX_REVISION + 1)
-
 struct LrListWatch {
     LrListWatchConfig config;
     bool reading;
@@ -57,18 +55,6 @@
     g_free(item);
 }
 
-int64_t
-LrListWatch_Version(int64_t era, int64_t revision)
-{
-    return era * ERA_FACTOR + revision;
-}
-
-static int64_t
-era_of(int64_t version)
-{
-    return version / ERA_FACTOR;
-}
-
 LrListWatch *
 LrListWatch_New(const LrListWatchConfig *config)
 {
@@ -129,7 +115,7 @@
     call.long_poll = list_watch->failing_since == 0;
     list_watch->watched_from =
         MAX(list_watch->watch_revision, LrValueSet_Revision(base));
-    call.after_revision = list_watch->watched_from % ERA_FACTOR;
+    call.after_revision = LrRevision_OfService(list_watch->watched_from);
     return call;
 }
 
@@ -155,7 +141,7 @@
 store_item(LrListWatch *list_watch, int64_t era,
            const LrListWatchItem *received)
 {
-    int64_t revision = LrListWatch_Version(era, received->revision);
+    int64_t revision = LrRevision_Make(era, received->revision);
     char *name = LrStr_Dup(received->name);
     const Item *known = g_hash_table_lookup(list_watch->pending_items, name);
     if (known && known->revision > revision) {
@@ -213,7 +199,7 @@
 static bool
 is_of_older_era(LrListWatch *list_watch, LrTime now, int64_t era)
 {
-    if (era >= era_of(list_watch->watched_from)) {
+    if (era >= LrRevision_Era(list_watch->watched_from)) {
         return false;
     }
     LrListWatch_OnFailure(list_watch, now, "older era");
@@ -265,7 +251,7 @@
     list_watch->relist_required = false;
     list_watch->list_complete = true;
     list_watch->changed = true;
-    list_watch->watch_revision = LrListWatch_Version(
+    list_watch->watch_revision = LrRevision_Make(
         list_watch->list_position.era, list_watch->list_position.revision);
 }
 
@@ -278,7 +264,7 @@
         return;
     }
     record_success(list_watch, now);
-    if (position.era != era_of(list_watch->watched_from)) {
+    if (position.era != LrRevision_Era(list_watch->watched_from)) {
         on_new_era(list_watch, now, position.era);
         return;
     }
@@ -288,7 +274,7 @@
     }
     list_watch->watch_revision =
         MAX(list_watch->watch_revision,
-            LrListWatch_Version(position.era, position.revision));
+            LrRevision_Make(position.era, position.revision));
     list_watch->not_before = n_items > 0 ? now + EVENT_BATCH_DELAY : now;
 }
 
@@ -299,7 +285,7 @@
         return;
     }
     record_success(list_watch, now);
-    if (era != era_of(list_watch->watched_from)) {
+    if (era != LrRevision_Era(list_watch->watched_from)) {
         on_new_era(list_watch, now, era);
     }
     else {
@@ -374,6 +360,18 @@
     g_ptr_array_unref(names);
 }
 
+/* The list of a restored service may be older than the values in use. */
+static void
+hold_newer(LrListWatch *list_watch, LrValueSet *values, const LrValueSet *base,
+           LrTime now)
+{
+    size_t n = LrValueSet_HoldNewer(values, base, LR_INSTANCE_PREFIX, now,
+                                    list_watch->config.absence_hold);
+    LR_LOG(list_watch->config.log, LOG_NOTICE, "restored_entries_held",
+           LrLog_Int("revision", LrValueSet_Revision(values)),
+           LrLog_Int("entries", (int64_t)n));
+}
+
 LrValueSet *
 LrListWatch_TakeValues(LrListWatch *list_watch, const LrValueSet *base,
                        LrTime now)
@@ -394,6 +392,10 @@
             remove_unlisted(list_watch, values, now);
         }
         apply_items(list_watch, values, now);
+        if (LrRevision_Era(LrValueSet_Revision(values)) >
+            LrRevision_Era(LrValueSet_Revision(base))) {
+            hold_newer(list_watch, values, base, now);
+        }
     }
     if (list_watch->listed) {
         g_hash_table_remove_all(list_watch->pending_items);
--- a/liblavenderrail/list_watch.h
+++ b/liblavenderrail/list_watch.h
@@ -8,7 +8,7 @@
  *
  * A service that is restored from a copy loses its latest changes and gives
  * their revisions out again. It counts its eras, one for each restore; values
- * are ordered by era first (LrListWatch_Version). */
+ * are ordered by era first (LrRevision_Make). */
 #ifndef LAVENDERRAIL_LIST_WATCH_H
 #define LAVENDERRAIL_LIST_WATCH_H
 
@@ -66,13 +66,6 @@
     bool long_poll;
 } LrListWatchCall;
 
-/* Most eras and revisions of a service that can be told apart. */
-#define LR_LIST_WATCH_MAX_ERA 1000000
-#define LR_LIST_WATCH_MAX_REVISION 999999999999
-
-/* Revision of values that were read at a revision of the service in an era of
- * it: grows with both. In decimal digits the last twelve are the revision. */
-int64_t LrListWatch_Version(int64_t era, int64_t revision);
 LrListWatch *LrListWatch_New(const LrListWatchConfig *config);
 void LrListWatch_Free(LrListWatch *list_watch);
 /* Starts or stops reading; initially off. */
--- a/liblavenderrail/value_set.c
+++ b/liblavenderrail/value_set.c
@@ -11,6 +11,12 @@
 /* Tombstones of removed values; the oldest is dropped when there are more. */
 enum { MAX_TOMBSTONES = 1024 };
 
+/* Entries that a restored service has of targets which have left lapse within
+ * this time, and targets that are alive have written again what was lost. */
+#define RESTORED_HOLD (5 * LR_SECOND)
+
+#define ERA_FACTOR (LR_MAX_SERVICE_REVISION + 1)
+
 typedef struct {
     char *name;
     int64_t revision;
@@ -19,7 +25,9 @@
     int refs;
 } Value;
 
-/* A removed value that stays in use until a time. */
+/* What is used in place of the value of that name until a time, whatever the
+ * set has: a value that was removed, or that may be newer than the one in the
+ * set. An empty text stands for no value. */
 typedef struct {
     Value *value;
     LrTime until;
@@ -37,6 +45,24 @@
     int64_t compacted_revision;
 };
 
+int64_t
+LrRevision_Make(int64_t era, int64_t service_revision)
+{
+    return era * ERA_FACTOR + service_revision;
+}
+
+int64_t
+LrRevision_Era(int64_t revision)
+{
+    return revision / ERA_FACTOR;
+}
+
+int64_t
+LrRevision_OfService(int64_t revision)
+{
+    return revision % ERA_FACTOR;
+}
+
 static void
 unref_value(gpointer data)
 {
@@ -171,6 +197,7 @@
         return;
     }
     Value *tombstone = new_value(name, revision, LrStr_FromC(""));
+    g_tree_remove(set->held, name);
     g_tree_remove(set->values, name);
     if (set->tombstones->len == MAX_TOMBSTONES) {
         const Value *oldest = set->tombstones->pdata[0];
@@ -186,10 +213,93 @@
                 LrTime until)
 {
     Value *value = g_tree_lookup(set->values, name);
-    if (value) {
-        add_held_value(set, value, until);
-        LrValueSet_Remove(set, name, revision);
+    if (!value) {
+        return;
+    }
+    const HeldValue *held = g_tree_lookup(set->held, name);
+    value = held ? held->value : value;
+    value->refs++;
+    LrValueSet_Remove(set, name, revision);
+    add_held_value(set, value, until);
+    unref_value(value);
+}
+
+/* The value that is used under a name; NULL for none. */
+static Value *
+value_in_use(const LrValueSet *set, const char *name)
+{
+    const HeldValue *held = g_tree_lookup(set->held, name);
+    Value *value = held ? held->value : g_tree_lookup(set->values, name);
+    return value && value->len > 0 ? value : NULL;
+}
+
+typedef struct {
+    LrValueSet *set;
+    const LrValueSet *base;
+    const char *prefix;
+    LrTime missing_until;
+    LrTime changed_until;
+    size_t n;
+} Restored;
+
+static bool
+is_newer_in_service(const Value *listed, const Value *known)
+{
+    return LrRevision_OfService(listed->revision) >
+           LrRevision_OfService(known->revision);
+}
+
+static void
+hold_if_newer(Restored *restored, Value *known)
+{
+    const Value *listed = g_tree_lookup(restored->set->values, known->name);
+    if (!listed && known->len == 0) {
+        return;
     }
+    bool same = listed && listed->len == known->len &&
+                memcmp(listed->text, known->text, known->len) == 0;
+    if (same || (listed && is_newer_in_service(listed, known))) {
+        return;
+    }
+    add_held_value(restored->set, known,
+                   listed ? restored->changed_until : restored->missing_until);
+    restored->n++;
+}
+
+static gboolean
+hold_base_value(gpointer name, gpointer data, gpointer user)
+{
+    (void)data;
+    Restored *restored = user;
+    Value *known = value_in_use(restored->base, name);
+    if (known && g_str_has_prefix(name, restored->prefix)) {
+        hold_if_newer(restored, known);
+    }
+    return FALSE;
+}
+
+size_t
+LrValueSet_HoldNewer(LrValueSet *set, const LrValueSet *base,
+                     const char *prefix, LrTime now, LrTime absence_hold)
+{
+    Restored restored = {
+        .set = set,
+        .base = base,
+        .prefix = prefix,
+        .missing_until = now + absence_hold,
+        .changed_until = now + RESTORED_HOLD,
+    };
+    g_tree_foreach(base->values, hold_base_value, &restored);
+    g_tree_foreach(base->held, hold_base_value, &restored);
+    for (guint i = 0; i < base->tombstones->len; i++) {
+        Value *tombstone = base->tombstones->pdata[i];
+        if (g_str_has_prefix(tombstone->name, prefix) &&
+            !g_tree_lookup(base->held, tombstone->name) &&
+            !g_tree_lookup(base->values, tombstone->name)) {
+            hold_if_newer(&restored, tombstone);
+        }
+    }
+    return restored.n;
 }
 
 static gboolean
@@ -253,25 +363,37 @@
 }
 
 typedef struct {
+    const LrValueSet *set;
     void (*func)(void *data, const char *name, LrStr text);
     void *data;
 } Visitor;
 
+static void
+visit(const Visitor *visitor, const Value *value)
+{
+    visitor->func(visitor->data, value->name,
+                  (LrStr){.ptr = value->text, .len = value->len});
+}
+
 static gboolean
 visit_value(gpointer name, gpointer data, gpointer user)
 {
-    const Value *value = data;
     const Visitor *visitor = user;
-    visitor->func(visitor->data, name,
-                  (LrStr){.ptr = value->text, .len = value->len});
+    if (!g_tree_lookup(visitor->set->held, name)) {
+        visit(visitor, data);
+    }
     return FALSE;
 }
 
 static gboolean
 visit_held_value(gpointer name, gpointer data, gpointer user)
 {
+    (void)name;
     const HeldValue *held = data;
-    return visit_value(name, held->value, user);
+    if (held->value->len > 0) {
+        visit(user, held->value);
+    }
+    return FALSE;
 }
 
 void
@@ -279,7 +401,7 @@
                 void (*func)(void *data, const char *name, LrStr text),
                 void *data)
 {
-    Visitor visitor = {.func = func, .data = data};
+    Visitor visitor = {.set = set, .func = func, .data = data};
     g_tree_foreach(set->values, visit_value, &visitor);
     g_tree_foreach(set->held, visit_held_value, &visitor);
 }
@@ -394,7 +516,8 @@
         .text = {.ptr = value->text, .len = value->len},
     };
     const HeldValue *held = g_tree_lookup(changes->set->held, value->name);
-    if (value->len == 0 && held && held->until > changes->now) {
+    if (value->len == 0 && held && held->value->len > 0 &&
+        held->until > changes->now) {
         item->held_ms = (held->until - changes->now) / LR_MILLISECOND;
     }
 }
--- a/tests/test_restored_store.cc
+++ b/tests/test_restored_store.cc
@@ -79,6 +79,30 @@
         json_decref(json);
         return reads;
     }
+    // Whether each daemon, or none, may send requests to a searcher.
+    bool
+    all_use(const std::string &id, bool used) const
+    {
+        for (int i = 1; i <= N_DAEMONS; i++) {
+            HttpAnswer answer =
+                http("http://" + fleet->address(10 * i + 2) + "/state",
+                     nullptr, {}, 2000);
+            if ((answer.body.find("\"" + id + "@") != std::string::npos) !=
+                used) {
+                return false;
+            }
+        }
+        return true;
+    }
+    void
+    expect_use(const std::string &id, bool used, int ms) const
+    {
+        for (int i = 0; i < ms; i += 100) {
+            EXPECT_TRUE(all_use(id, used)) << id << ", after " << i << " ms";
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    }
+
     std::unique_ptr<RoutedFleet> fleet;
     int n_asked = 0;
 };
@@ -132,3 +156,41 @@
         EXPECT_TRUE(has(daemon, 2)) << daemon;
     }
 }
+
+TEST_F(RestoredStore, DoesNotBringBackTargetsThatHaveLeft)
+{
+    ASSERT_NO_FATAL_FAILURE(make(31700));
+    store("copy");
+    fleet->control("entry?id=c1");
+    fleet->control("entry?id=a1&state=draining");
+    ASSERT_TRUE(eventually(
+        [&] { return all_use("c1", false) && all_use("a1", false); }));
+    store("restore");
+    expect_use("c1", false, 1000);
+    expect_use("a1", false, 1000);
+    store("rewrite");
+    expect_use("c1", false, 6000);
+    expect_use("a1", false, 500);
+}
+
+TEST_F(RestoredStore, DoesNotLoseTargetsThatHaveArrived)
+{
+    ASSERT_NO_FATAL_FAILURE(make(31900));
+    store("copy");
+    fleet->server("c3", "c", 7);
+    ASSERT_TRUE(eventually([&] { return all_use("c3", true); }));
+    store("restore");
+    expect_use("c3", true, 1000);
+    store("rewrite");
+    expect_use("c3", true, 3000);
+}
+
+TEST_F(RestoredStore, DropsTargetsThatAreNotRegisteredAgain)
+{
+    ASSERT_NO_FATAL_FAILURE(make(32100));
+    store("copy");
+    fleet->server("c3", "c", 7);
+    ASSERT_TRUE(eventually([&] { return all_use("c3", true); }));
+    store("restore");
+    EXPECT_TRUE(eventually([&] { return all_use("c3", false); }));
+}
--- a/tests/test_value_set.cc
+++ b/tests/test_value_set.cc
@@ -2,6 +2,7 @@
 // between.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -145,3 +146,114 @@
     EXPECT_EQ(count_used(set), 1);
     LrValueSet_Free(set);
 }
+
+namespace {
+
+// What a set uses, held or not, as name=text.
+std::vector<std::string>
+in_use(const LrValueSet *set)
+{
+    std::vector<std::string> found;
+    LrValueSet_Each(
+        set,
+        [](void *data, const char *name, LrStr text) {
+            static_cast<std::vector<std::string> *>(data)->push_back(
+                std::string(name) + "=" + std::string(text.ptr, text.len));
+        },
+        &found);
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+using Names = std::vector<std::string>;
+
+// A set before a restore from a copy of revision 40, and the same after it.
+class RestoredValues : public testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        LrValueSet_SetRevision(base, LrRevision_Make(1, 50));
+        set(base, "t/same", 1, 10, "ready");
+        set(base, "t/leaving", 1, 45, "leaving");
+        set(base, "t/arrived", 1, 46, "ready");
+        set(base, "t/rewritten", 1, 47, "old");
+        set(base, "t/left", 1, 12, "ready");
+        LrValueSet_Remove(base, "t/left", LrRevision_Make(1, 48));
+        set(base, "other", 1, 49, "new");
+        LrValueSet_SetRevision(restored, LrRevision_Make(2, 52));
+        set(restored, "t/same", 2, 10, "ready");
+        set(restored, "t/leaving", 2, 11, "ready");
+        set(restored, "t/left", 2, 12, "ready");
+        set(restored, "t/rewritten", 2, 52, "new");
+        set(restored, "other", 2, 20, "old");
+        n_held = LrValueSet_HoldNewer(restored, base, "t/", NOW, LR_SECOND);
+    }
+    void
+    TearDown() override
+    {
+        LrValueSet_Free(base);
+        LrValueSet_Free(restored);
+    }
+    static void
+    set(LrValueSet *to, const char *name, int64_t era, int64_t revision,
+        const char *text)
+    {
+        LrValueSet_Set(to, name, LrRevision_Make(era, revision),
+                       LrStr_FromC(text));
+    }
+
+    LrValueSet *base = LrValueSet_New();
+    LrValueSet *restored = LrValueSet_New();
+    size_t n_held = 0;
+};
+
+} // namespace
+
+TEST_F(RestoredValues, WhatMayBeNewerThanTheCopyIsUsed)
+{
+    EXPECT_EQ(n_held, 3u);
+    EXPECT_EQ(in_use(restored),
+              (Names{"other=old", "t/arrived=ready", "t/leaving=leaving",
+                     "t/rewritten=new", "t/same=ready"}));
+}
+
+TEST_F(RestoredValues, HoldsEnd)
+{
+    LrValueSet_ExpireHeld(restored, NOW + LR_SECOND);
+    EXPECT_EQ(in_use(restored), (Names{"other=old", "t/leaving=leaving",
+                                       "t/rewritten=new", "t/same=ready"}))
+        << "not registered again";
+    EXPECT_EQ(LrValueSet_NextHoldExpiry(restored), NOW + 5 * LR_SECOND);
+    LrValueSet_ExpireHeld(restored, NOW + 5 * LR_SECOND);
+    EXPECT_EQ(in_use(restored),
+              (Names{"other=old", "t/leaving=ready", "t/left=ready",
+                     "t/rewritten=new", "t/same=ready"}));
+}
+
+TEST_F(RestoredValues, WhatIsWrittenOrRemovedAgainIsNotHeld)
+{
+    set(restored, "t/leaving", 2, 53, "again");
+    set(restored, "t/left", 2, 54, "again");
+    EXPECT_EQ(in_use(restored),
+              (Names{"other=old", "t/arrived=ready", "t/leaving=again",
+                     "t/left=again", "t/rewritten=new", "t/same=ready"}));
+    LrValueSet_Remove(restored, "t/leaving", LrRevision_Make(2, 55));
+    LrValueSet_Remove(restored, "t/left", LrRevision_Make(2, 56));
+    EXPECT_EQ(in_use(restored), (Names{"other=old", "t/arrived=ready",
+                                       "t/rewritten=new", "t/same=ready"}));
+}
+
+TEST_F(RestoredValues, TravelToPeersWithoutWhatIsHeld)
+{
+    LrArena *arena = LrArena_New();
+    LrDeltaMsg delta;
+    LrValueSet_MakeDelta(restored, 0, NOW, arena, &delta);
+    LrValueSet *received = LrValueSet_ApplyDelta(base, &delta, NOW);
+    ASSERT_NE(received, nullptr);
+    EXPECT_EQ(LrValueSet_Digest(received), LrValueSet_Digest(restored));
+    LrValueSet_HoldNewer(received, base, "t/", NOW, LR_SECOND);
+    EXPECT_EQ(in_use(received), in_use(restored));
+    LrValueSet_Free(received);
+    LrArena_Free(arena);
+}
