soak, standin_routed: the store is restored from a copy

Cause: the soak played stores that are down, lose answers and forget history, and none that goes back.

--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -78,7 +78,8 @@
     /* Number of times that the store has been started from a copy, plus one.
      */
     int64_t era;
-    /* The copy, and the last writes of each key since, in order. */
+    /* The copy, and the last writes of keys that the return to it lost and
+     * that have not been written since, in order. */
     GHashTable *copied_items;
     int64_t copied_revision;
     GPtrArray *lost;
@@ -198,6 +199,17 @@
     reply_to_waiter(waiter);
 }
 
+static void
+remove_key(GPtrArray *items, const char *key)
+{
+    for (guint i = 0; i < items->len; i++) {
+        if (!strcmp(((const Item *)items->pdata[i])->key, key)) {
+            g_ptr_array_remove_index(items, i);
+            return;
+        }
+    }
+}
+
 static void
 write_item(Standin *standin, const char *key, const char *value)
 {
@@ -206,6 +218,7 @@
     item->value = g_strdup(value);
     item->revision = ++standin->revision;
     item->refs = 1;
+    remove_key(standin->lost, key);
     g_ptr_array_add(standin->events, item);
     if (value) {
         item->refs++;
@@ -240,17 +253,6 @@
     standin->copied_revision = standin->revision;
 }
 
-static void
-remove_key(GPtrArray *items, const char *key)
-{
-    for (guint i = 0; i < items->len; i++) {
-        if (!strcmp(((const Item *)items->pdata[i])->key, key)) {
-            g_ptr_array_remove_index(items, i);
-            return;
-        }
-    }
-}
-
 /* Goes back to the copy, as a store does that has lost its data: revisions are
  * given out again, and waiting watches are cut off. */
 static void
@@ -287,11 +289,12 @@
 static void
 rewrite_lost(Standin *standin)
 {
-    for (guint i = 0; i < standin->lost->len; i++) {
-        const Item *item = standin->lost->pdata[i];
+    while (standin->lost->len > 0) {
+        Item *item = standin->lost->pdata[0];
+        item->refs++;
         write_item(standin, item->key, item->value);
+        unref_item(item);
     }
-    g_ptr_array_set_size(standin->lost, 0);
 }
 
 static void
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -117,6 +117,7 @@
         # Request targets that crash searchers, one at a time.
         self.crashing = []
         self.crash_lock = asyncio.Lock()
+        self.restore_lock = asyncio.Lock()
         self.configs = []
         self.disturbed_until = {}
         # Daemons that a fault kept from taking part: name, start, end.
@@ -528,6 +529,22 @@
         if name != "compact":
             await self.control("store?name=%s&value=0" % name)
 
+    async def fault_restore(self):
+        """The store comes back from a copy; what was lost is written again."""
+        if self.restore_lock.locked():
+            return
+        async with self.restore_lock:
+            await self.control("store?name=copy&value=1")
+            await asyncio.sleep(self.random.uniform(0.5, 5))
+            away = self.random.choice([0, 0.3, 2])
+            self.disturb("store", away + 1)
+            await self.control("store?name=down&value=1")
+            await asyncio.sleep(away)
+            await self.control("store?name=restore&value=1")
+            await self.control("store?name=down&value=0")
+            await asyncio.sleep(self.random.uniform(0, 0.5))
+            await self.control("store?name=rewrite&value=1")
+
     async def fault_searcher(self):
         name = self.random.choice(list(self.searchers))
         fault, value = self.random.choice(
@@ -632,7 +649,8 @@
         kinds = [self.fault_kill, self.fault_stop, self.fault_pause,
                  self.fault_hangup, self.fault_link, self.fault_store,
                  self.fault_searcher, self.fault_searcher, self.fault_release,
-                 self.fault_config, self.fault_limit, self.fault_crash]
+                 self.fault_config, self.fault_limit, self.fault_crash,
+                 self.fault_restore]
         tasks = set()
         # Limits and crashes are checked only after some seconds, so that they
         # come first.
