soak: a change after all faults is in force on every daemon

Cause: the soak noticed nothing with a daemon of before the repair: a change of the configuration is hardly ever checked among its faults, and as what was lost is written again, revisions were rarely lower than before. Change: the configuration is written up to four times between copy and restore, and once more after the last fault, when each daemon has to have it within its bound.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -535,7 +535,11 @@
             return
         async with self.restore_lock:
             await self.control("store?name=copy&value=1")
-            await asyncio.sleep(self.random.uniform(0.5, 5))
+            # A key that is written several times is written again once, so
+            # that the revisions after it are lower than before.
+            for _ in range(self.random.randrange(5)):
+                await self.put_config(SHARDS)
+                await asyncio.sleep(self.random.uniform(0, 1))
             away = self.random.choice([0, 0.3, 2])
             self.disturb("store", away + 1)
             await self.control("store?name=down&value=1")
@@ -626,20 +630,30 @@
         for i in range(1, self.options.daemons + 1):
             if len(self.configs) != version or self.stopping:
                 return
-            self.next_id += 1
-            name = "r%d" % self.next_id
-            path = "/v%d/x" % version
-            self.sent[name] = {"id": name, "kind": "v", "path": path,
-                               "at": time.monotonic(), "daemon": i}
-            try:
-                status, _, _ = await self.http(
-                    self.port(i, 1), "GET", path,
-                    {"X-Request-Id": name, "X-Deadline-Ms": DEADLINE_MS})
-            except (OSError, asyncio.TimeoutError,
-                    asyncio.IncompleteReadError):
-                continue
-            if status == 404:
-                self.violate("config", "d%d lacks version %d" % (i, version))
+            await self.check_version(i, version)
+
+    async def check_version(self, i, version):
+        self.next_id += 1
+        name = "r%d" % self.next_id
+        path = "/v%d/x" % version
+        self.sent[name] = {"id": name, "kind": "v", "path": path,
+                           "at": time.monotonic(), "daemon": i}
+        try:
+            status, _, _ = await self.http(
+                self.port(i, 1), "GET", path,
+                {"X-Request-Id": name, "X-Deadline-Ms": DEADLINE_MS})
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return
+        if status == 404:
+            self.violate("config", "d%d lacks version %d" % (i, version))
+
+    async def check_last_config(self):
+        """A change after all faults is in force on every daemon."""
+        await asyncio.sleep(STABILITY_S)
+        await self.put_config(SHARDS)
+        await asyncio.sleep(CONFIG_APPLY_S)
+        for i in range(1, self.options.daemons + 1):
+            await self.check_version(i, len(self.configs))
 
     def note_failure(self, task):
         if task.exception():
@@ -654,7 +668,7 @@
         tasks = set()
         # Limits and crashes are checked only after some seconds, so that they
         # come first.
-        first = [self.fault_limit, self.fault_crash]
+        first = [self.fault_limit, self.fault_crash, self.fault_restore]
         kind = first.pop(0)
         while not self.stopping:
             task = asyncio.create_task(kind())
@@ -760,6 +774,8 @@
             self.violate("recover", "not served %.0f s after the last fault"
                          % RECOVERY_S)
         await self.check_quarantine()
+        if not self.options.plant:
+            await self.check_last_config()
         runs = await self.runs()
         if self.options.plant:
             self.plant(runs)
