platform, targets, fleet: a target that says that it is leaving gets nothing more

DRAIN: a searcher that says so in its answers (Server-Leaving) was sent requests as before by daemons that had passed such answers on.

A target with an identity stays marked for as long as it is in the catalogue, and is remembered for a minute after that.

--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -56,6 +56,8 @@
     int foreign;
     /* Requests per second that it names as its limit; 0 for none. */
     int limit;
+    /* Not 0: it says in all responses that it is leaving. */
+    int leaving;
 } Faults;
 
 /* How the searchers crash that run a request. */
@@ -359,12 +361,26 @@
     return (int)(++searcher->standin->n_requests * 37 % 100) < percent;
 }
 
+/* What the searcher says of itself in all of its responses. */
 static void
-reply_without_body(LrCallerExchange *call, const char *status,
-                   const char *extra)
+append_statements(const Searcher *searcher, GString *head)
+{
+    if (searcher->faults.limit > 0) {
+        g_string_append_printf(head, "Server-Limit: %d.0\r\n",
+                               searcher->faults.limit);
+    }
+    if (searcher->faults.leaving) {
+        g_string_append(head, "Server-Leaving: 1\r\n");
+    }
+}
+
+static void
+reply_without_body(const Searcher *searcher, LrCallerExchange *call,
+                   const char *status, const char *extra)
 {
     GString *head = g_string_new(NULL);
     g_string_append_printf(head, "HTTP/1.1 %s\r\n%s", status, extra);
+    append_statements(searcher, head);
     LrCallerExchange_Reply(call, head, NULL, false);
     g_string_free(head, TRUE);
 }
@@ -415,10 +431,7 @@
         "Keep-Alive: timeout=5\r\n",
         error ? "500 Broken" : "200 OK", foreign ? "not-" : "", (int)id.len,
         id.ptr, (int)id.len, id.ptr, searcher->id, searcher->running);
-    if (searcher->faults.limit > 0) {
-        g_string_append_printf(head, "Server-Limit: %d.0\r\n",
-                               searcher->faults.limit);
-    }
+    append_statements(searcher, head);
     LrCallerExchange_Reply(
         call, head,
         make_records(searcher, LrHttpMessage_RequestTarget(message)), false);
@@ -459,7 +472,7 @@
 {
     g_autofree char *identity =
         g_strdup_printf("X-Instance-Id: %s\r\n", searcher->id);
-    reply_without_body(call, "200 OK", identity);
+    reply_without_body(searcher, call, "200 OK", identity);
 }
 
 static bool
@@ -524,11 +537,12 @@
     }
     LrStr expected = LrHttpMessage_Header(message, "X-Expected-Instance");
     if (expected.len > 0 && !LrStr_EqualC(expected, searcher->id)) {
-        reply_without_body(call, "421 Misdirected Request", "");
+        reply_without_body(searcher, call, "421 Misdirected Request", "");
         return;
     }
     if (should_inject(searcher, searcher->faults.shed)) {
-        reply_without_body(call, "503 Full", "X-Not-Executed: 1\r\n");
+        reply_without_body(searcher, call, "503 Full",
+                           "X-Not-Executed: 1\r\n");
         return;
     }
     if (crashes(searcher, message)) {
@@ -683,7 +697,7 @@
         {"work_ms", &faults->work_ms}, {"pause_ms", &faults->pause_ms},
         {"shed", &faults->shed},       {"error", &faults->error},
         {"lose", &faults->lose},       {"foreign", &faults->foreign},
-        {"limit", &faults->limit},
+        {"limit", &faults->limit},     {"leaving", &faults->leaving},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(known); i++) {
         if (!strcmp(known[i].name, name)) {
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -290,6 +290,7 @@
         LrGateway_SetCatalogue(daemon->gateway, catalogue);
     }
     LrEngine_SetCatalogue(daemon->engine, LrClock_Now(), catalogue);
+    LrFleet_MarkRememberedLeaving(daemon);
     LrMembers_SetCatalogue(daemon->members, LrValueSet_Revision(store),
                            LrValueSet_Digest(store));
     update_readiness(daemon);
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -24,6 +24,10 @@
 /* An unanswered delta request is repeated after this time. */
 #define DELTA_REQUEST_TIMEOUT (2 * LR_SECOND)
 
+/* A target that said that it is leaving is remembered for this long after the
+ * catalogue has dropped it: its entry may come back. */
+#define LEAVING_MEMORY (60 * LR_SECOND)
+
 static const LrRecordDescriptor *const MESSAGE_SPECS[] = {
     [LR_MSG_PROBE] = &LrProbeMsg_Descriptor,
     [LR_MSG_DELTA_REQUEST] = &LrDeltaRequestMsg_Descriptor,
@@ -618,13 +622,34 @@
 add_stated_leaving(void *data, LrTarget *target)
 {
     LrDaemon *daemon = data;
+    LrTime now = LrClock_Now();
     if ((target->leaving_sources & LR_LEAVING_BY_REPLY) &&
-        LrTargets_IsLeaving(target, LrClock_Now())) {
+        LrTargets_IsLeaving(target, now)) {
         LrLeavingTargets_Add(daemon->stated_leaving, target->key,
-                             target->leaving_until);
+                             MIN(target->leaving_until, now + LEAVING_MEMORY));
+    }
+}
+
+static void
+mark_if_remembered(void *data, LrTarget *target)
+{
+    LrDaemon *daemon = data;
+    LrTime now = LrClock_Now();
+    LrTime until =
+        LrLeavingTargets_ExpiryOf(daemon->stated_leaving, target->key);
+    if (until > now && !LrTargets_IsLeaving(target, now)) {
+        LrTargets_MarkLeavingUntil(LrEngine_Targets(daemon->engine), target,
+                                   LR_LEAVING_BY_REPLY, until, now);
     }
 }
 
+void
+LrFleet_MarkRememberedLeaving(LrDaemon *daemon)
+{
+    LrTargets_Each(LrEngine_Targets(daemon->engine), mark_if_remembered,
+                   daemon);
+}
+
 static void
 on_interval(struct ev_loop *loop, ev_timer *timer, int events)
 {
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1166,6 +1166,8 @@
 void LrLeavingTargets_Free(LrLeavingTargets *list);
 void LrLeavingTargets_Add(LrLeavingTargets *list, LrStr address,
                           LrTime expires_at);
+/* When the mark of a target ends; 0 when it has none. */
+LrTime LrLeavingTargets_ExpiryOf(const LrLeavingTargets *list, LrStr address);
 /* Removes all, before the targets of a new list are added. */
 void LrLeavingTargets_Clear(LrLeavingTargets *list);
 /* Takes up to that many in turn, to be sent to peers; the addresses are
--- a/liblavenderrail/leaving_targets.c
+++ b/liblavenderrail/leaving_targets.c
@@ -76,6 +76,18 @@
     }
 }
 
+LrTime
+LrLeavingTargets_ExpiryOf(const LrLeavingTargets *list, LrStr address)
+{
+    for (guint i = 0; i < list->targets->len; i++) {
+        const LeavingTarget *target = list->targets->pdata[i];
+        if (LrStr_EqualC(address, target->address)) {
+            return target->expires_at;
+        }
+    }
+    return 0;
+}
+
 size_t
 LrLeavingTargets_NextBatch(LrLeavingTargets *list, LrTime now,
                            LrLeavingTargetMsg *out, size_t max)
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -33,6 +33,8 @@
 #define QUEUE_REPORT_RATIO 1.3
 /* Added to the estimate for a target in another zone, in typical latencies. */
 #define CROSS_ZONE_MEDIANS 0.2
+/* How long a target is taken as leaving that is known by its address only:
+ * another one may start there. */
 #define LEAVING_MARK_TIME (30 * LR_SECOND)
 #define VERSION_MISSING_TTL LR_SECOND
 #define BASE_EJECTION_TIME (500 * LR_MILLISECOND)
@@ -171,6 +173,13 @@
     return targets->policy;
 }
 
+/* Whether a target that starts again counts as another one. */
+static bool
+has_identity(const LrTarget *target)
+{
+    return target->instance.len > 0;
+}
+
 bool
 LrTargets_IsLeaving(const LrTarget *target, LrTime now)
 {
@@ -608,8 +617,8 @@
 LrTargets_MarkLeaving(LrTargets *targets, LrTarget *target,
                       LrLeavingSource source, LrTime now)
 {
-    LrTargets_MarkLeavingUntil(targets, target, source,
-                               now + LEAVING_MARK_TIME, now);
+    LrTime until = has_identity(target) ? LR_NEVER : now + LEAVING_MARK_TIME;
+    LrTargets_MarkLeavingUntil(targets, target, source, until, now);
 }
 
 void
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -522,3 +522,57 @@
         return fleet.rate_limit(3, "a1") < 0;
     }));
 }
+
+// Runs at a searcher of requests to all daemons in turn.
+static int
+count_runs(const RoutedFleet &fleet, const std::string &server, int n_requests)
+{
+    static int n_asked = 0;
+    int n_ran = 0;
+    int n_daemons = (int)fleet.daemons.size() - 1;
+    for (int i = 0; i < n_requests; i++) {
+        std::string id = "count" + std::to_string(n_asked++);
+        EXPECT_EQ(fleet.ask(1 + i % n_daemons, "/c/x", id).status, 200);
+        for (const std::string &target : fleet.runs(id)) {
+            n_ran += target == server;
+        }
+    }
+    return n_ran;
+}
+
+TEST(RoutedStatements, ATargetThatSaysItIsLeavingGetsNothingMore)
+{
+    RoutedFleet fleet(32300, 3);
+    fleet.setup();
+    for (int i = 1; i <= 3; i++) {
+        ASSERT_TRUE(eventually([&] { return fleet.serves(i); }));
+    }
+    // The other searcher is the worse choice.
+    fleet.fault("c2", "pause_ms", 40);
+    fleet.fault("c1", "leaving", 1);
+    for (int i = 0; i < 30; i++) {
+        fleet.ask(1 + i % 3, "/c/x", "told" + std::to_string(i));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    EXPECT_EQ(count_runs(fleet, "c1", 60), 0);
+}
+
+TEST(RoutedStatements, ATargetThatIsLeavingIsRememberedWhileItsEntryIsAway)
+{
+    RoutedFleet fleet(32450, 2);
+    fleet.setup();
+    for (int i = 1; i <= 2; i++) {
+        ASSERT_TRUE(eventually([&] { return fleet.serves(i); }));
+    }
+    fleet.fault("c2", "pause_ms", 40);
+    fleet.fault("c1", "leaving", 1);
+    EXPECT_TRUE(eventually([&] { return count_runs(fleet, "c1", 10) == 0; }));
+    fleet.control("store?name=copy&value=1");
+    fleet.control("entry?id=c1");
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    fleet.control("store?name=restore&value=1");
+    // What the daemons know of its removal outlives the restore by five
+    // seconds.
+    std::this_thread::sleep_for(std::chrono::seconds(7));
+    EXPECT_EQ(count_runs(fleet, "c1", 20), 0);
+}
