soak: searchers that say that they leave, or ask for pauses

Cause: the soak's searchers did not send Server-Leaving or Retry-After. Change: a searcher that is replaced says so in its responses only, for five to eight seconds; searchers of a service refuse everything and ask for a pause. Checked for each daemon that nothing disturbed. Planted violations: leaving, pause.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,6 +42,12 @@
 # A request that has crashed three searchers reaches searchers at most this
 # often later than the stability window after the third crash.
 CRASHES_KNOWN, CRASH_RETRIES, STABILITY_S = 3, 3, 4.0
+# Requests that may be on their way when a searcher asks a daemon for a pause,
+# and how many may reach it later than that.
+PAUSE_SLACK_S, PAUSE_RETRIES = 0.5, 2
+# From this many daemons of a zone on, some gather for the others, so that a
+# request does not tell which daemon sent it to a searcher.
+FORWARDING_DAEMONS = 8
 
 
 class Proxy:
@@ -114,6 +120,10 @@
         # Rate limits that searchers named: name, start, end, requests/s.
         self.limits = []
         self.limited = set()
+        # Searchers that say in all responses that they are leaving, since when,
+        # and pauses: name, start, end, seconds that it asks for.
+        self.said_leaving = {}
+        self.pauses = []
         # Request targets that crash searchers, one at a time.
         self.crashing = []
         self.crash_lock = asyncio.Lock()
@@ -174,8 +184,8 @@
         if status != 200:
             raise RuntimeError("stand-in refused %s: %s" % (call, text))
 
-    async def runs(self):
-        _, _, text = await self.http(self.base, "GET", "/control/runs", {})
+    async def runs(self, what):
+        _, _, text = await self.http(self.base, "GET", "/control/" + what, {})
         return json.loads(text)["runs"]
 
     async def http(self, port, method, path, headers, body=""):
@@ -286,7 +296,7 @@
         if self.bodies.setdefault(key, digest) != digest:
             self.violate("mixed", "two merges of the same parts differ")
 
-    def check_runs(self, runs):
+    def check_runs(self, runs, shed):
         by_id = collections.Counter(run["id"] for run in runs)
         for run in runs:
             request = self.sent.get(run["id"])
@@ -314,6 +324,50 @@
             self.check_limit(runs, *limit)
         for path in self.crashing:
             self.check_crashes(runs, path)
+        if self.options.daemons < FORWARDING_DAEMONS:
+            for name in self.said_leaving:
+                self.check_leaving(runs, name)
+            for pause in self.pauses:
+                self.check_pause(shed, *pause)
+
+    def daemons_of(self, runs, name, start):
+        """Times of requests to a searcher since then, by the daemon asked."""
+        times = collections.defaultdict(list)
+        for run in runs:
+            at = run["at_ms"] / 1000
+            if run["server"] == name and at >= start and \
+                    run["id"] in self.sent:
+                times["d%d" % self.sent[run["id"]]["daemon"]].append(at)
+        return times
+
+    def was_calm(self, daemon, start, end):
+        """Whether a daemon was not restarted, paused or cut off."""
+        return not any(name == daemon and from_ <= end and start <= to
+                       for name, from_, to in self.disturbances)
+
+    def check_leaving(self, runs, name):
+        """A daemon that has passed on its word sends it nothing more."""
+        said = self.said_leaving[name]
+        for daemon, times in self.daemons_of(runs, name, said).items():
+            # The first response takes less than the slack to be passed on.
+            late = [at for at in times if at > min(times) + DRAIN_S +
+                    DEADLINE_MS / 1000 and
+                    self.was_calm(daemon, min(times), at)]
+            if late:
+                self.violate("leaving", "%s sent %d requests to %s late" % (
+                    daemon, len(late), name))
+
+    def check_pause(self, shed, name, start, end, pause):
+        for daemon, times in self.daemons_of(shed, name, start).items():
+            times = sorted(at for at in times if at < end)
+            for first in times:
+                late = [at for at in times
+                        if first + PAUSE_SLACK_S < at < first + pause and
+                        self.was_calm(daemon, first, at)]
+                if len(late) > PAUSE_RETRIES:
+                    self.violate("pause", "%s sent %d requests to %s, which "
+                                 "wanted none" % (daemon, len(late), name))
+                    return
 
     def check_crashes(self, runs, path):
         """Each run of such a request has crashed a searcher."""
@@ -606,10 +660,48 @@
                 await asyncio.sleep(self.random.uniform(0.1, 0.5))
             await self.control(control + "0")
 
+    def replaceable(self):
+        """A searcher that neither leaves nor names a limit; None for none."""
+        names = [name for name in self.searchers if name not in self.left and
+                 name not in self.said_leaving and name not in self.limited]
+        return self.random.choice(names) if names else None
+
+    async def fault_leaving(self):
+        """A searcher is replaced, and only its responses say so at first."""
+        name = self.replaceable()
+        if not name:
+            return
+        self.said_leaving[name] = time.monotonic()
+        await self.add_searcher(self.searchers[name],
+                                self.random.randrange(3),
+                                len(self.searchers))
+        await self.control("fault?id=%s&name=leaving&value=1" % name)
+        await asyncio.sleep(self.random.uniform(5, 8))
+        await self.control("entry?id=%s" % name)
+        self.left[name] = time.monotonic()
+
+    async def fault_busy(self):
+        """Searchers refuse all requests and ask for a pause."""
+        service = self.random.choice((*SHARDS, SINGLE))
+        names = [name for name, of in self.searchers.items()
+                 if of == service and name not in self.left]
+        names = self.random.sample(names, self.random.randint(1, len(names)))
+        pause = self.random.randint(1, 3)
+        start = time.monotonic()
+        for name in names:
+            await self.control("fault?id=%s&name=retry_after&value=%d" % (
+                name, pause))
+            await self.control("fault?id=%s&name=shed&value=100" % name)
+        await asyncio.sleep(self.random.uniform(1, 4))
+        for name in names:
+            await self.control("fault?id=%s&name=shed&value=0" % name)
+            await self.control("fault?id=%s&name=retry_after&value=0" % name)
+            self.pauses.append((name, start, time.monotonic(), pause))
+
     async def fault_release(self):
         """A searcher is replaced: the new one starts, the old one drains."""
-        name = self.random.choice(list(self.searchers))
-        if name in self.left:
+        name = self.replaceable()
+        if not name:
             return
         service = self.searchers[name]
         await self.add_searcher(service, self.random.randrange(3),
@@ -664,11 +756,11 @@
                  self.fault_hangup, self.fault_link, self.fault_store,
                  self.fault_searcher, self.fault_searcher, self.fault_release,
                  self.fault_config, self.fault_limit, self.fault_crash,
-                 self.fault_restore]
+                 self.fault_restore, self.fault_leaving, self.fault_busy]
         tasks = set()
-        # Limits and crashes are checked only after some seconds, so that they
-        # come first.
-        first = [self.fault_limit, self.fault_crash, self.fault_restore]
+        # What is checked only after some seconds comes first.
+        first = [self.fault_limit, self.fault_crash, self.fault_leaving,
+                 self.fault_restore]
         kind = first.pop(0)
         while not self.stopping:
             task = asyncio.create_task(kind())
@@ -721,7 +813,7 @@
         if not await self.wait_served(10):
             raise RuntimeError("the daemons do not serve at the start")
 
-    def plant(self, runs):
+    def plant(self, runs, shed):
         """Forges what callers or searchers saw, to show that it is noticed."""
         kind = self.options.plant
         ran = [run for run in runs if run["target"].startswith("/u/")]
@@ -750,6 +842,15 @@
             self.crashing = [ran[0]["target"]]
             runs += [dict(ran[0], at_ms=at - 9000)] * CRASHES_KNOWN
             runs += [ran[0]] * CRASH_RETRIES
+        elif kind == "leaving":
+            self.disturbances.clear()
+            self.said_leaving[ran[0]["server"]] = 0
+            runs += [dict(ran[0], at_ms=ran[0]["at_ms"] - 6000)]
+        elif kind == "pause":
+            self.disturbances.clear()
+            at = ran[0]["at_ms"]
+            self.pauses.append((ran[0]["server"], 0, at / 1000 + 9, 2))
+            shed += [ran[0]] + [dict(ran[0], at_ms=at + 1000)] * 3
         elif kind == "mixed":
             self.check_answer(wide, 200, {
                 "x-part-seals": "seal-other-a0-0, seal-other-b0-0",
@@ -776,10 +877,11 @@
         await self.check_quarantine()
         if not self.options.plant:
             await self.check_last_config()
-        runs = await self.runs()
+        runs = await self.runs("runs")
+        shed = await self.runs("shed")
         if self.options.plant:
-            self.plant(runs)
-        self.check_runs(runs)
+            self.plant(runs, shed)
+        self.check_runs(runs, shed)
 
 
 def main():
@@ -794,7 +896,7 @@
     parser.add_argument("--port", type=int, default=29000)
     parser.add_argument("--plant", choices=[
         "refused", "twice", "unasked", "drain", "budget", "mixed",
-        "coverage", "limit", "crash"], help="forge one violation, to see it noticed")
+        "coverage", "limit", "crash", "leaving", "pause"], help="forge one violation, to see it noticed")
     options = parser.parse_args()
     # Every third seed has one zone of nine, in which three gather for all.
     large = options.seed % 3 == 0
