--- a/tests/test_restored_store.cc
+++ b/tests/test_restored_store.cc
@@ -6,7 +6,6 @@
 
 // The platform's bound on changes of the configuration.
 constexpr auto CONFIG_APPLY = std::chrono::seconds(3);
-constexpr int N_DAEMONS = 3;
 
 // A route that only configurations of that version and later ones have.
 std::string
@@ -27,12 +26,14 @@
 
 class RestoredStore : public testing::Test {
   protected:
+    // Two daemons of a zone read the store; the others learn from them.
     void
-    make(int base)
+    make(int base, int daemons = 3, int zones = 3)
     {
-        fleet = std::make_unique<RoutedFleet>(base, N_DAEMONS);
+        n_daemons = daemons;
+        fleet = std::make_unique<RoutedFleet>(base, n_daemons, zones);
         fleet->setup();
-        for (int i = 1; i <= N_DAEMONS; i++) {
+        for (int i = 1; i <= n_daemons; i++) {
             ASSERT_TRUE(eventually([&] { return fleet->serves(i); }));
         }
     }
@@ -57,7 +58,7 @@
     expect_in_force(int version)
     {
         auto until = std::chrono::steady_clock::now() + CONFIG_APPLY;
-        for (int i = 1; i <= N_DAEMONS; i++) {
+        for (int i = 1; i <= n_daemons; i++) {
             bool in_force = false;
             while (!in_force && std::chrono::steady_clock::now() < until) {
                 in_force = has(i, version);
@@ -83,7 +84,7 @@
     bool
     all_use(const std::string &id, bool used) const
     {
-        for (int i = 1; i <= N_DAEMONS; i++) {
+        for (int i = 1; i <= n_daemons; i++) {
             HttpAnswer answer =
                 http("http://" + fleet->address(10 * i + 2) + "/state",
                      nullptr, {}, 2000);
@@ -104,6 +105,7 @@
     }
 
     std::unique_ptr<RoutedFleet> fleet;
+    int n_daemons = 0;
     int n_asked = 0;
 };
 
@@ -144,7 +146,7 @@
     expect_in_force(2);
     store("restore");
     for (int i = 0; i < 20; i++) {
-        for (int daemon = 1; daemon <= N_DAEMONS; daemon++) {
+        for (int daemon = 1; daemon <= n_daemons; daemon++) {
             EXPECT_TRUE(has(daemon, 2)) << daemon << ", " << i;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
@@ -152,7 +154,7 @@
     store("rewrite");
     put(3);
     expect_in_force(3);
-    for (int daemon = 1; daemon <= N_DAEMONS; daemon++) {
+    for (int daemon = 1; daemon <= n_daemons; daemon++) {
         EXPECT_TRUE(has(daemon, 2)) << daemon;
     }
 }
@@ -194,3 +196,24 @@
     store("restore");
     EXPECT_TRUE(eventually([&] { return all_use("c3", false); }));
 }
+
+TEST_F(RestoredStore, IsTheSameToDaemonsThatDoNotReadIt)
+{
+    ASSERT_NO_FATAL_FAILURE(make(25600, 5, 1));
+    store("copy");
+    for (int version = 2; version <= 5; version++) {
+        put(version);
+    }
+    fleet->control("entry?id=c1");
+    fleet->server("c3", "c", 7);
+    expect_in_force(5);
+    ASSERT_TRUE(eventually(
+        [&] { return all_use("c1", false) && all_use("c3", true); }));
+    store("restore");
+    expect_use("c1", false, 1000);
+    store("rewrite");
+    put(6);
+    expect_in_force(6);
+    expect_use("c1", false, 3000);
+    expect_use("c3", true, 1000);
+}
