--- a/liblavenderrail/value_set.c
+++ b/liblavenderrail/value_set.c
@@ -278,6 +278,16 @@
     return FALSE;
 }
 
+/* The same for values that base only holds. */
+static gboolean
+hold_base_held_value(gpointer name, gpointer data, gpointer user)
+{
+    const Restored *restored = user;
+    return g_tree_lookup(restored->base->values, name)
+               ? FALSE
+               : hold_base_value(name, data, user);
+}
+
 size_t
 LrValueSet_HoldNewer(LrValueSet *set, const LrValueSet *base,
                      const char *prefix, LrTime now, LrTime absence_hold)
@@ -290,7 +300,7 @@
         .changed_until = now + RESTORED_HOLD,
     };
     g_tree_foreach(base->values, hold_base_value, &restored);
-    g_tree_foreach(base->held, hold_base_value, &restored);
+    g_tree_foreach(base->held, hold_base_held_value, &restored);
     for (guint i = 0; i < base->tombstones->len; i++) {
         Value *tombstone = base->tombstones->pdata[i];
         if (g_str_has_prefix(tombstone->name, prefix) &&
