tests: crashing requests: daemons know each other before the first one

Cause, from the log of such a play: the first request comes 0.8 s after the start of the fleet. h1 tells the crashes to the daemons that it knows; it does not know h2 yet, which is asked next and begins to count at 0. A daemon counts as in touch 4 s after its start only, so the case is allowed; and no request was forwarded yet, which the name of the test promises.

Change: the tests wait until each daemon knows that all others are alive, and this one until each weak daemon has forwarded a request. All bounds stay. What read the state and the counters of a daemon is in routed.h, once.

--- a/tests/routed.h
+++ b/tests/routed.h
@@ -194,9 +194,12 @@
     bool
     ready(int i) const
     {
-        return http("http://" + address(10 * i + 2) + "/readyz", nullptr, {},
-                    1000)
-                   .status == 200;
+        return http(operators(i, "/readyz"), nullptr, {}, 1000).status == 200;
+    }
+    std::string
+    operators(int i, const std::string &path) const
+    {
+        return "http://" + address(10 * i + 2) + path;
     }
     void
     control(const std::string &call, const std::string &body = "") const
@@ -300,15 +303,8 @@
     double
     rate_limit(int i, const std::string &id) const
     {
-        HttpAnswer answer = http("http://" + address(10 * i + 2) + "/state",
-                                 nullptr, {}, 2000);
-        json_t *json =
-            json_loadb(answer.body.data(), answer.body.size(), 0, nullptr);
         double limit = -1;
-        size_t n;
-        json_t *target;
-        json_array_foreach(json_object_get(json, "targets"), n, target)
-        {
+        each_in_state(i, "targets", [&](const json_t *target) {
             std::string name =
                 json_string_value(json_object_get(target, "name"));
             json_t *value = json_object_get(json_object_get(target, "rate"),
@@ -317,10 +313,30 @@
                 json_is_number(value)) {
                 limit = json_number_value(value);
             }
-        }
-        json_decref(json);
+        });
         return limit;
     }
+    // Whether daemon i knows that all daemons are alive.
+    bool
+    knows_all(int i) const
+    {
+        size_t n_alive = 0;
+        each_in_state(i, "members", [&](const json_t *member) {
+            n_alive += std::string("alive") ==
+                       json_string_value(json_object_get(member, "state"));
+        });
+        return n_alive == daemons.size() - 1;
+    }
+    // Counter of daemon i; -1 when there is none.
+    long
+    counter(int i, const std::string &name) const
+    {
+        std::string text = http(operators(i, "/metrics")).body;
+        size_t at = text.find("\nlavenderrail_" + name + "_total ");
+        return at == std::string::npos
+                   ? -1
+                   : std::stol(text.substr(text.find(" ", at) + 1));
+    }
     // When a searcher refused requests, in milliseconds.
     std::vector<int64_t>
     shed_times(const std::string &id) const
@@ -372,21 +388,32 @@
     std::vector<std::unique_ptr<Process>> daemons;
 
   private:
-    void
-    each_request(const std::string &list,
-                 const std::function<void(const json_t *)> &func) const
+    static void
+    each_row(const HttpAnswer &answer, const std::string &list,
+             const std::function<void(const json_t *)> &func)
     {
-        HttpAnswer answer = http(store("/control/" + list));
         json_t *json =
             json_loadb(answer.body.data(), answer.body.size(), 0, nullptr);
         size_t i;
-        json_t *run;
-        json_array_foreach(json_object_get(json, "runs"), i, run)
+        json_t *row;
+        json_array_foreach(json_object_get(json, list.c_str()), i, row)
         {
-            func(run);
+            func(row);
         }
         json_decref(json);
     }
+    void
+    each_in_state(int i, const std::string &list,
+                  const std::function<void(const json_t *)> &func) const
+    {
+        each_row(http(operators(i, "/state"), nullptr, {}, 2000), list, func);
+    }
+    void
+    each_request(const std::string &list,
+                 const std::function<void(const json_t *)> &func) const
+    {
+        each_row(http(store("/control/" + list)), "runs", func);
+    }
 };
 
 #endif
--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -92,6 +92,7 @@
         fleet->setup();
         for (int i = 1; i <= n_daemons; i++) {
             ASSERT_TRUE(eventually([&] { return fleet->serves(i); }));
+            ASSERT_TRUE(eventually([&] { return fleet->knows_all(i); }));
         }
         innocents = std::make_unique<Innocents>(*fleet);
         std::this_thread::sleep_for(std::chrono::milliseconds(500));
@@ -188,6 +189,12 @@
 TEST_F(CrashingRequests, ThatAreForwardedAreRefusedByAllDaemons)
 {
     ASSERT_NO_FATAL_FAILURE(make(29900, 9, 1));
+    for (int i = RoutedFleet::N_STRONG + 1; i <= n_daemons; i++) {
+        ASSERT_TRUE(eventually([&] {
+            fleet->ask(i, "/w/x", "early");
+            return fleet->counter(i, "forwarded") > 0;
+        }));
+    }
     fleet->control(down_for("/w/crash", false));
     repeat_in_turn("/w/crash", 3 * n_daemons);
     EXPECT_LE(crashes("/w/crash"), MAX_CRASHES);
--- a/tests/test_forward.cc
+++ b/tests/test_forward.cc
@@ -6,23 +6,12 @@
 constexpr int BASE = 28400;
 constexpr int N_DAEMONS = 8;
 
-long
-counter(const RoutedFleet &fleet, int i, const std::string &name)
-{
-    std::string text =
-        http("http://" + fleet.address(10 * i + 2) + "/metrics").body;
-    size_t at = text.find("\nlavenderrail_" + name + "_total ");
-    return at == std::string::npos
-               ? -1
-               : std::stol(text.substr(text.find(" ", at) + 1));
-}
-
 long
 served_by_aggregators(const RoutedFleet &fleet)
 {
     long sum = 0;
     for (int i = 1; i <= RoutedFleet::N_STRONG; i++) {
-        sum += std::max(0L, counter(fleet, i, "forward_served"));
+        sum += std::max(0L, fleet.counter(i, "forward_served"));
     }
     return sum;
 }
@@ -42,7 +31,7 @@
         for (int i = RoutedFleet::N_STRONG + 1; i <= N_DAEMONS; i++) {
             ASSERT_TRUE(eventually([&] {
                 fleet->ask(i, "/w/x", "early");
-                return counter(*fleet, i, "forwarded") > 0;
+                return fleet->counter(i, "forwarded") > 0;
             }));
         }
         ASSERT_TRUE(eventually([&] { return fleet->serves(N_DAEMONS); }));
