standin_routed: the work of a searcher that crashes is ended in one place

Seen: the linter fails in the whole run on ("use of memory after it is freed") on both loops that take the first piece of work off a searcher until there is none.

Cause: the analyzer does not follow that end_work unlinks what it frees; the loops are right, and the same one twice.

Change: one function with the safe loop that the other lists use. The linter has no finding on any file; two tests of crashing requests passed.

--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -414,6 +414,17 @@
     g_free(work);
 }
 
+static void
+end_all_work(Searcher *searcher)
+{
+    Work *work;
+    Work *next;
+    TAILQ_FOREACH_SAFE(work, &searcher->works, of_searcher, next)
+    {
+        end_work(work);
+    }
+}
+
 static void
 finish_work(void *data, LrTime now)
 {
@@ -463,9 +474,7 @@
 static void
 crash_now(Searcher *searcher)
 {
-    while (!TAILQ_EMPTY(&searcher->works)) {
-        end_work(TAILQ_FIRST(&searcher->works));
-    }
+    end_all_work(searcher);
     LrCallerServer_ResetConnections(searcher->callers);
     if (!searcher->crash.port_open) {
         g_clear_pointer(&searcher->callers, LrCallerServer_Free);
@@ -632,9 +641,7 @@
 {
     Searcher *searcher = data;
     LrLoopTimers_Clear(searcher->standin->timers, &searcher->crash_timer);
-    while (!TAILQ_EMPTY(&searcher->works)) {
-        end_work(TAILQ_FIRST(&searcher->works));
-    }
+    end_all_work(searcher);
     LrCallerServer_Free(searcher->callers);
     g_free(searcher->id);
     g_free(searcher->service);
