soak: links end before the event loop does

A run ended with dozens of "Exception ignored ... Event loop is closed" on standard error, from connections of the proxies that the closed loop could not close any more; they hid its result in the log. The processes are ended and the links are reset first.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -882,6 +882,11 @@
         if self.options.plant:
             self.plant(runs, shed)
         self.check_runs(runs, shed)
+        self.kill_all()
+        for proxy in self.proxies.values():
+            proxy.reset()
+        # Lets the links end before the loop does.
+        await asyncio.sleep(0.1)
 
 
 def main():
@@ -896,7 +901,8 @@
     parser.add_argument("--port", type=int, default=29000)
     parser.add_argument("--plant", choices=[
         "refused", "twice", "unasked", "drain", "budget", "mixed",
-        "coverage", "limit", "crash", "leaving", "pause"], help="forge one violation, to see it noticed")
+        "coverage", "limit", "crash", "leaving", "pause"],
+        help="forge one violation, to see it noticed")
     options = parser.parse_args()
     # Every third seed has one zone of nine, in which three gather for all.
     large = options.seed % 3 == 0
