fleet: crash reports: the peers of a report are picked without sorting all

Each report sorted all members by weight and allocated a list of them, up to 64 times in one event when many connections break at once. The sixteen that rank first are kept in an array instead; they are the same ones.

Found by reading.

--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -4,6 +4,7 @@
 #include "daemon.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include <jansson.h>
 
@@ -182,32 +183,41 @@
     const LrMember *member;
 } RankedPeer;
 
-static int
-by_weight(gconstpointer a, gconstpointer b)
+/* Inserts a peer by descending weight; the last one of a full list is
+ * dropped. */
+static size_t
+insert_ranked(RankedPeer peers[MAX_REPORT_PEERS], size_t n, RankedPeer peer)
 {
-    uint64_t left = ((const RankedPeer *)a)->weight;
-    uint64_t right = ((const RankedPeer *)b)->weight;
-    return (left < right) - (left > right);
+    size_t at = n;
+    while (at > 0 && peers[at - 1].weight < peer.weight) {
+        at--;
+    }
+    if (at == MAX_REPORT_PEERS) {
+        return n;
+    }
+    n = MIN(n + 1, MAX_REPORT_PEERS);
+    memmove(&peers[at + 1], &peers[at], (n - at - 1) * sizeof(peers[0]));
+    peers[at] = peer;
+    return n;
 }
 
-/* Ranks the other daemons for a request, by rendezvous hashing. */
-static GArray *
-rank_peers(const LrDaemon *daemon, uint64_t content)
+/* Picks the other daemons that rank first for a request, by rendezvous
+ * hashing. */
+static size_t
+pick_report_peers(const LrDaemon *daemon, uint64_t content,
+                  RankedPeer peers[MAX_REPORT_PEERS])
 {
-    GArray *peers = g_array_new(FALSE, FALSE, sizeof(RankedPeer));
+    size_t n = 0;
     for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
         const LrMember *member = LrMembers_Get(daemon->members, i);
         if (member->state == LR_MEMBER_ALIVE &&
             !LrStr_Equal(member->name, daemon->settings.name)) {
-            RankedPeer peer = {
-                .weight = LrStr_Hash(member->name, content),
-                .member = member,
-            };
-            g_array_append_val(peers, peer);
+            RankedPeer peer = {.weight = LrStr_Hash(member->name, content),
+                               .member = member};
+            n = insert_ranked(peers, n, peer);
         }
     }
-    g_array_sort(peers, by_weight);
-    return peers;
+    return n;
 }
 
 static void
@@ -222,13 +232,12 @@
         .event = report->event,
         .target = report->target,
     };
-    GArray *peers = rank_peers(daemon, report->fingerprint.content);
-    for (guint i = 0; i < peers->len && i < MAX_REPORT_PEERS; i++) {
-        LrPeers_Send(daemon->peers,
-                     g_array_index(peers, RankedPeer, i).member->address,
+    RankedPeer peers[MAX_REPORT_PEERS];
+    size_t n = pick_report_peers(daemon, report->fingerprint.content, peers);
+    for (size_t i = 0; i < n; i++) {
+        LrPeers_Send(daemon->peers, peers[i].member->address,
                      &LrCrashReportMsg_Descriptor, &message);
     }
-    g_array_unref(peers);
 }
 
 void
