crash, fleet: a verdict is told to all daemons at once

Seen: on 48 daemons with a probe interval of 300 ms (as deployed; a scratch copy of the test, requests each 50 ms to any daemon) a request over two shards crashed 4 to 12 searchers, one to a single service 7 to 8, until all refused it 0.3 to 0.8 s after the first crash. With 90 shards each daemon that has not heard of it crashes 90 searchers at once.

Cause: crashes are reported to the sixteen peers that rank first for a request; the others learnt the verdict from probes, a doubling an interval.

Change: who comes to the verdict, by a crash of its own or by reports of others, tells it to all daemons, before the crash that led to it, so that those that count that crash as well need not tell it again. It names no caller once the request crashed targets for two. Such verdicts are rare: each costs a message to each daemon.

--- a/liblavenderrail/crash.c
+++ b/liblavenderrail/crash.c
@@ -328,6 +328,14 @@
     }
 }
 
+/* Tells all daemons that a request is refused from now on. */
+static void
+report_quarantined(LrEngine *engine, LrFingerprint fingerprint)
+{
+    add_report(engine, LrQuarantine_KnownAs(engine->quarantine, fingerprint),
+               LR_CRASH_EVENT_QUARANTINED, NULL);
+}
+
 static void
 confirm_crash(LrEngine *engine, const LrTarget *target,
               const LrBrokenRequest *broken, LrTime now)
@@ -339,6 +347,10 @@
                                      broken->sent_at, broken->at, now);
     unsigned n_crashes =
         LrQuarantine_CountCrashes(engine->quarantine, broken->fingerprint);
+    /* First, so that peers which count this crash too need not tell it. */
+    if (n_crashes > n_before && status == LR_REQUEST_QUARANTINED) {
+        report_quarantined(engine, broken->fingerprint);
+    }
     if (n_crashes > n_before) {
         add_report(engine, broken->fingerprint, LR_CRASH_EVENT_CRASH, target);
     }
@@ -447,6 +459,20 @@
     }
 }
 
+static void
+count_reported(LrEngine *engine, const LrCrashReport *report, LrTime now)
+{
+    LrQuarantine *quarantine = engine->quarantine;
+    LrRequestStatus before =
+        LrQuarantine_Check(quarantine, report->fingerprint, now);
+    LrRequestStatus after =
+        LrQuarantine_AddCrash(quarantine, report->fingerprint, now);
+    if (after == LR_REQUEST_QUARANTINED && before != after) {
+        report_quarantined(engine, report->fingerprint);
+    }
+    mark_down(engine, report->target, now);
+}
+
 void
 LrEngine_OnCrashReport(LrEngine *engine, LrTime now,
                        const LrCrashReport *report)
@@ -459,8 +485,11 @@
         LrQuarantine_Suspect(quarantine, report->fingerprint, now);
         break;
     case LR_CRASH_EVENT_CRASH:
-        LrQuarantine_AddCrash(quarantine, report->fingerprint, now);
-        mark_down(engine, report->target, now);
+        count_reported(engine, report, now);
+        break;
+    case LR_CRASH_EVENT_QUARANTINED:
+        LrQuarantine_Add(quarantine, report->fingerprint,
+                         now + LR_QUARANTINE_TTL, now);
         break;
     default:
         LrQuarantine_Clear(quarantine, report->fingerprint);
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -201,6 +201,13 @@
     return n;
 }
 
+static bool
+is_live_peer(const LrDaemon *daemon, const LrMember *member)
+{
+    return member->state == LR_MEMBER_ALIVE &&
+           !LrStr_Equal(member->name, daemon->settings.name);
+}
+
 /* Picks the other daemons that rank first for a request, by rendezvous
  * hashing. */
 static size_t
@@ -210,8 +217,7 @@
     size_t n = 0;
     for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
         const LrMember *member = LrMembers_Get(daemon->members, i);
-        if (member->state == LR_MEMBER_ALIVE &&
-            !LrStr_Equal(member->name, daemon->settings.name)) {
+        if (is_live_peer(daemon, member)) {
             RankedPeer peer = {.weight = LrStr_Hash(member->name, content),
                                .member = member};
             n = insert_ranked(peers, n, peer);
@@ -220,10 +226,22 @@
     return n;
 }
 
+static void
+send_to_all(const LrDaemon *daemon, const LrCrashReportMsg *message)
+{
+    for (size_t i = 0; i < LrMembers_Count(daemon->members); i++) {
+        const LrMember *member = LrMembers_Get(daemon->members, i);
+        if (is_live_peer(daemon, member)) {
+            LrPeers_Send(daemon->peers, member->address,
+                         &LrCrashReportMsg_Descriptor, message);
+        }
+    }
+}
+
 static void
 send_crash_report(void *data, const LrCrashReport *report)
 {
-    LrDaemon *daemon = data;
+    const LrDaemon *daemon = data;
     LrFingerprintText text;
     LrFingerprint_ToText(report->fingerprint, &text);
     LrCrashReportMsg message = {
@@ -232,6 +250,12 @@
         .event = report->event,
         .target = report->target,
     };
+    /* Probes would spread it as well, but while they do, each daemon that has
+     * not heard of it may crash a target of every shard. */
+    if (report->event == LR_CRASH_EVENT_QUARANTINED) {
+        send_to_all(daemon, &message);
+        return;
+    }
     RankedPeer peers[MAX_REPORT_PEERS];
     size_t n = pick_report_peers(daemon, report->fingerprint.content, peers);
     for (size_t i = 0; i < n; i++) {
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -52,6 +52,7 @@
     "broken",
     "crash",
     "answered",
+    "quarantined",
     NULL,
 };
 
@@ -1911,7 +1912,7 @@
     {.name = "event",
      .kind = LR_FIELD_ENUM,
      .offset = offsetof(LrCrashReportMsg, event),
-     .hint = "what happened to an attempt of it",
+     .hint = "what happened to an attempt of it, or that it is refused from now on",
      .choices = LrCrashEvent_Names,
      .fallback = 0},
     {.name = "target",
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -57,11 +57,12 @@
 } LrReason;
 extern const char *const LrReason_Names[];
 
-/* What happened to an attempt of a request that may crash targets. */
+/* What is known of a request that may crash targets. */
 typedef enum {
     LR_CRASH_EVENT_BROKEN,
     LR_CRASH_EVENT_CRASH,
     LR_CRASH_EVENT_ANSWERED,
+    LR_CRASH_EVENT_QUARANTINED,
     LR_CRASH_EVENT_COUNT
 } LrCrashEvent;
 extern const char *const LrCrashEvent_Names[];
@@ -813,7 +814,7 @@
     LrStr fingerprint;
     /* 16 hexadecimal digits; hash of who asks, 0 or empty for any caller */
     LrStr caller;
-    /* what happened to an attempt of it */
+    /* what happened to an attempt of it, or that it is refused from now on */
     LrCrashEvent event;
     /* name of the target that is down, or its IP:port where it has no identity */
     LrStr target;
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -985,6 +985,9 @@
 
 extern const char *const LrRequestStatus_Names[];
 
+/* How long a request is refused. */
+#define LR_QUARANTINE_TTL (300 * LR_SECOND)
+
 LrQuarantine *LrQuarantine_New(void);
 void LrQuarantine_Free(LrQuarantine *quarantine);
 /* A request that crashed targets for one caller is refused to that caller, and
@@ -1025,6 +1028,10 @@
 /* The target is up: ends that. */
 void LrQuarantine_Unsuspect(LrQuarantine *quarantine,
                             LrFingerprint fingerprint);
+/* The fingerprint of its first crash, with caller 0 when it crashed targets
+ * for several. */
+LrFingerprint LrQuarantine_KnownAs(const LrQuarantine *quarantine,
+                                   LrFingerprint fingerprint);
 unsigned LrQuarantine_CountCrashes(const LrQuarantine *quarantine,
                                    LrFingerprint fingerprint);
 /* A target replied to the request: it is no longer a suspect. */
--- a/liblavenderrail/quarantine.c
+++ b/liblavenderrail/quarantine.c
@@ -8,7 +8,6 @@
 #define SUSPECT_TTL (60 * LR_SECOND)
 /* A request whose crash has not been confirmed by then is clear again. */
 #define UNCONFIRMED_TTL LR_SECOND
-#define QUARANTINE_TTL (300 * LR_SECOND)
 
 enum {
     MAX_RECORDS = 4096,
@@ -113,6 +112,14 @@
            known.caller == fingerprint.caller;
 }
 
+static LrFingerprint
+known_as(const CrashRecord *record)
+{
+    LrFingerprint known = record->known.fingerprint;
+    known.caller = record->any_caller ? 0 : known.caller;
+    return known;
+}
+
 static LrRequestStatus
 request_status(const CrashRecord *record, LrFingerprint fingerprint)
 {
@@ -180,7 +187,7 @@
         context == LR_CRASH_ALONE ? CRASHES_ALONE : CRASHES_WITH_OTHERS;
     if (record->known.n_crashes >= needed) {
         record->known.quarantined = true;
-        record->known.expires_at = now + QUARANTINE_TTL;
+        record->known.expires_at = now + LR_QUARANTINE_TTL;
     }
     return request_status(record, fingerprint);
 }
@@ -207,7 +214,7 @@
     record->known.expires_at = now + SUSPECT_TTL;
     if (record->known.n_crashes >= CRASHES_CONFIRMED) {
         record->known.quarantined = true;
-        record->known.expires_at = now + QUARANTINE_TTL;
+        record->known.expires_at = now + LR_QUARANTINE_TTL;
     }
 }
 
@@ -275,6 +282,14 @@
     }
 }
 
+LrFingerprint
+LrQuarantine_KnownAs(const LrQuarantine *quarantine, LrFingerprint fingerprint)
+{
+    const CrashRecord *record =
+        g_hash_table_lookup(quarantine->records, &fingerprint.content);
+    return record ? known_as(record) : fingerprint;
+}
+
 unsigned
 LrQuarantine_CountCrashes(const LrQuarantine *quarantine,
                           LrFingerprint fingerprint)
@@ -328,9 +343,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const CrashRecord *record = value;
         LrCrashRecord known = record->known;
-        if (record->any_caller) {
-            known.fingerprint.caller = 0;
-        }
+        known.fingerprint = known_as(record);
         func(data, &known);
     }
 }
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -141,6 +141,17 @@
         collect();
     }
 
+    // Takes the report of another daemon.
+    void
+    take_report(LrFingerprint fingerprint, LrCrashEvent event)
+    {
+        LrCrashReport report = {};
+        report.fingerprint = fingerprint;
+        report.event = event;
+        LrEngine_OnCrashReport(engine, now, &report);
+        collect();
+    }
+
     void
     cancel(uint64_t id)
     {
--- a/tests/routed.h
+++ b/tests/routed.h
@@ -110,7 +110,8 @@
 class RoutedFleet {
   public:
     RoutedFleet(int first_port, int n_daemons, int zones = 3)
-        : base(first_port), n_zones(zones)
+        : base(first_port), n_zones(zones),
+          first_server(std::max(100, 10 * (n_daemons + 1)))
     {
         standin = std::make_unique<Process>(
             std::vector<std::string>{LR_BIN "/lr-standin-routed", "--store",
@@ -207,12 +208,12 @@
         EXPECT_EQ(http(store("/control/" + call), body.c_str()).status, 200)
             << call;
     }
-    // Adds a searcher at port base + 100 + port.
+    // Adds a searcher at that port behind those of the daemons.
     void
     server(const std::string &id, const std::string &service, int port) const
     {
         control("server?id=" + id + "&service=" + service +
-                "&zone=z0&address=" + address(100 + port));
+                "&zone=z0&address=" + address(first_server + port));
     }
     void
     fault(const std::string &id, const std::string &name, int value) const
@@ -384,6 +385,7 @@
 
     int base;
     int n_zones;
+    int first_server;
     std::unique_ptr<Process> standin;
     std::vector<std::unique_ptr<Process>> daemons;
 
--- a/tests/test_crash.cc
+++ b/tests/test_crash.cc
@@ -33,10 +33,42 @@
     {
         return answers.back().reason;
     }
+    // Takes the reports for peers of crashes and of what is refused.
+    std::vector<LrCrashReport>
+    take_reports()
+    {
+        std::vector<LrCrashReport> reports;
+        LrEngine_EachCrashReport(
+            engine,
+            [](void *data, const LrCrashReport *report) {
+                if (report->event != LR_CRASH_EVENT_BROKEN) {
+                    static_cast<std::vector<LrCrashReport> *>(data)->push_back(
+                        *report);
+                }
+            },
+            &reports);
+        return reports;
+    }
 
     int n_ended = 0;
 };
 
+LrFingerprint
+fingerprint_of(const char *body, uint64_t caller)
+{
+    return {std::hash<std::string>()(body), caller};
+}
+
+std::vector<LrCrashEvent>
+events_of(const std::vector<LrCrashReport> &reports)
+{
+    std::vector<LrCrashEvent> events;
+    for (const LrCrashReport &report : reports) {
+        events.push_back(report.event);
+    }
+    return events;
+}
+
 } // namespace
 
 TEST(Crash, ConnectionsInUseAgainCountOnceACheckFindsTheTargetDown)
@@ -227,3 +259,64 @@
     harness.submit("once", false, "crashes?");
     EXPECT_EQ(harness.sends.size(), 1u);
 }
+
+TEST(Crash, AVerdictIsToldBeforeTheCrashThatLedToIt)
+{
+    CrashHarness harness(1, 9);
+    harness.caller = 1;
+    for (int i = 0; i < 3; i++) {
+        harness.submit("once", false, "crashes");
+        harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+        harness.advance(300 * MS);
+    }
+    EXPECT_EQ(events_of(harness.take_reports()),
+              (std::vector<LrCrashEvent>{
+                  LR_CRASH_EVENT_CRASH, LR_CRASH_EVENT_CRASH,
+                  LR_CRASH_EVENT_QUARANTINED, LR_CRASH_EVENT_CRASH}));
+}
+
+TEST(Crash, AVerdictFromCrashesThatPeersSawIsTold)
+{
+    CrashHarness harness(1, 9);
+    harness.caller = 1;
+    for (int i = 0; i < 5; i++) {
+        harness.take_report(fingerprint_of("crashes", 1),
+                            LR_CRASH_EVENT_CRASH);
+    }
+    EXPECT_EQ(events_of(harness.take_reports()),
+              (std::vector<LrCrashEvent>{LR_CRASH_EVENT_QUARANTINED}));
+}
+
+TEST(Crash, AVerdictForASecondCallerIsToldForAllCallers)
+{
+    CrashHarness harness(1, 9);
+    for (uint64_t caller : {1, 1, 1, 2}) {
+        harness.take_report(fingerprint_of("crashes", caller),
+                            LR_CRASH_EVENT_CRASH);
+    }
+    std::vector<LrCrashReport> reports = harness.take_reports();
+    ASSERT_EQ(reports.size(), 2u);
+    EXPECT_EQ(reports[0].fingerprint.caller, 1u);
+    EXPECT_EQ(reports[1].fingerprint.caller, 0u);
+}
+
+TEST(Crash, AVerdictOfAPeerHoldsAtOnceAndIsNotToldAgain)
+{
+    CrashHarness harness(1, 9);
+    harness.caller = 1;
+    harness.submit("ask", false, "crashes");
+    ASSERT_EQ(harness.sends.size(), 1u);
+    harness.take_report(fingerprint_of("crashes", 1),
+                        LR_CRASH_EVENT_QUARANTINED);
+    ASSERT_EQ(harness.answers.size(), 1u) << "the running one is ended";
+    EXPECT_EQ(harness.last_reason(), LR_REASON_QUARANTINED);
+    EXPECT_NE(harness.answers[0].outcome, LR_OUTCOME_NOT_RUN) << "it was sent";
+    harness.sends.clear();
+    harness.submit("ask", false, "crashes");
+    EXPECT_TRUE(harness.sends.empty());
+    EXPECT_EQ(harness.answers.back().outcome, LR_OUTCOME_NOT_RUN);
+    harness.caller = 2;
+    harness.submit("ask", false, "crashes");
+    EXPECT_EQ(harness.sends.size(), 1u) << "another caller's";
+    EXPECT_TRUE(harness.take_reports().empty());
+}
--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -201,6 +201,22 @@
     expect_refused_by_all("/w/crash");
 }
 
+// More daemons than count the crashes of a request.
+TEST_F(CrashingRequests, AreMadeKnownToAllDaemonsOfALargeFleet)
+{
+    ASSERT_NO_FATAL_FAILURE(make(21000, 24));
+    fleet->control(down_for("/c/crash", false));
+    repeat("/c/crash", 5);
+    for (int i = 1; i <= n_daemons; i++) {
+        EXPECT_TRUE(eventually([&] {
+            return fleet->counter(i, "crash_reports") > 0 ||
+                   fleet->counter(i, "crashes") > 0;
+        })) << i;
+    }
+    EXPECT_LE(crashes("/c/crash"), MAX_CRASHES);
+    expect_refused_by_all("/c/crash");
+}
+
 TEST_F(CrashingRequests, OtherRequestsAreServedMeanwhile)
 {
     ASSERT_NO_FATAL_FAILURE(make(30100));
