quarantine: a verdict that a peer told stands like one from own crashes

Found by reading; callers would see a request that crashes targets served again on one host, or an innocent request refused.

Cause: a record without crashes of its own was taken for one of a broken connection only. Since a verdict is told to all daemons, most records are of that kind. So a check that found a target up removed it; a crash for another caller took its caller over and shortened it to a minute; and, the other way round, a peer's verdict for one caller was extended to a caller of the same content whose connection had only broken, or whose crash had expired.

Change: a record is established by a crash or by a verdict, and only then has a caller that counts; an expired one is dropped first.

Evidence: four cases of test_quarantine, all of which failed before.

--- a/liblavenderrail/quarantine.c
+++ b/liblavenderrail/quarantine.c
@@ -203,19 +203,33 @@
     return false;
 }
 
+/* Whether a crash, or the verdict of a peer, is behind the record: not only a
+ * broken connection. */
+static bool
+is_established(const CrashRecord *record)
+{
+    return record->known.n_crashes > 0 || record->known.quarantined;
+}
+
 static void
-count_confirmed(CrashRecord *record, LrFingerprint fingerprint, LrTime now)
+add_caller(CrashRecord *record, LrFingerprint fingerprint)
 {
-    if (record->known.n_crashes == 0) {
+    if (!is_established(record)) {
         record->known.fingerprint.caller = fingerprint.caller;
     }
     record->any_caller |= !is_of_caller(record, fingerprint);
+}
+
+static void
+count_confirmed(CrashRecord *record, LrFingerprint fingerprint, LrTime now)
+{
+    add_caller(record, fingerprint);
     record->known.n_crashes++;
-    record->known.expires_at = now + SUSPECT_TTL;
     if (record->known.n_crashes >= CRASHES_CONFIRMED) {
         record->known.quarantined = true;
-        record->known.expires_at = now + LR_QUARANTINE_TTL;
     }
+    record->known.expires_at =
+        now + (record->known.quarantined ? LR_QUARANTINE_TTL : SUSPECT_TTL);
 }
 
 LrRequestStatus
@@ -277,7 +291,7 @@
 {
     const CrashRecord *record =
         g_hash_table_lookup(quarantine->records, &fingerprint.content);
-    if (record && record->known.n_crashes == 0) {
+    if (record && !is_established(record)) {
         g_hash_table_remove(quarantine->records, &fingerprint.content);
     }
 }
@@ -314,13 +328,12 @@
 LrQuarantine_Add(LrQuarantine *quarantine, LrFingerprint fingerprint,
                  LrTime until, LrTime now)
 {
-    CrashRecord *record =
-        g_hash_table_lookup(quarantine->records, &fingerprint.content);
+    CrashRecord *record = lookup_record(quarantine, fingerprint, now);
     if (!record) {
         record = add_record(quarantine, fingerprint, now);
     }
     if (record) {
-        record->any_caller |= !is_of_caller(record, fingerprint);
+        add_caller(record, fingerprint);
         record->known.quarantined = true;
         record->known.expires_at = MAX(record->known.expires_at, until);
     }
--- a/tests/test_quarantine.cc
+++ b/tests/test_quarantine.cc
@@ -141,3 +141,45 @@
               LR_REQUEST_SUSPECT)
         << "a confirmed crash stays";
 }
+
+TEST_F(QuarantineTest, APeersVerdictOutlivesASuspicionThatProvesWrong)
+{
+    LrQuarantine_Add(quarantine, {1, 5}, 300 * LR_SECOND, LR_SECOND);
+    LrQuarantine_Suspect(quarantine, {1, 6}, LR_SECOND);
+    LrQuarantine_Unsuspect(quarantine, {1, 6});
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 5}, 2 * LR_SECOND),
+              LR_REQUEST_QUARANTINED);
+}
+
+TEST_F(QuarantineTest, ACrashForAnotherCallerKeepsAPeersVerdict)
+{
+    LrQuarantine_Add(quarantine, {1, 5}, 300 * LR_SECOND, LR_SECOND);
+    EXPECT_EQ(LrQuarantine_AddCrash(quarantine, {1, 6}, LR_SECOND),
+              LR_REQUEST_QUARANTINED);
+    for (uint64_t caller : {5, 6, 7}) {
+        EXPECT_EQ(LrQuarantine_Check(quarantine, {1, caller}, 200 * LR_SECOND),
+                  LR_REQUEST_QUARANTINED)
+            << caller;
+    }
+}
+
+TEST_F(QuarantineTest, APeersVerdictIsNotForACallerThatWasASuspectOnly)
+{
+    LrQuarantine_Suspect(quarantine, {1, 6}, LR_SECOND);
+    LrQuarantine_Add(quarantine, {1, 5}, 300 * LR_SECOND, LR_SECOND);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 5}, LR_SECOND),
+              LR_REQUEST_QUARANTINED);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 6}, LR_SECOND),
+              LR_REQUEST_SUSPECT);
+}
+
+TEST_F(QuarantineTest, APeersVerdictIsNotForACallerWhoseCrashIsForgotten)
+{
+    LrQuarantine_RecordConfirmed(quarantine, {1, 6}, 1, 5, 10);
+    LrTime later = 100 * LR_SECOND;
+    LrQuarantine_Add(quarantine, {1, 5}, 300 * LR_SECOND, later);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 5}, later),
+              LR_REQUEST_QUARANTINED);
+    EXPECT_EQ(LrQuarantine_Check(quarantine, {1, 6}, later),
+              LR_REQUEST_SUSPECT);
+}
