quarantine, fleet: crashes of one moment count as one over all daemons

Callers saw: a request that many send with the same content (from one address) is refused by all daemons for five minutes, since another request crashed one of the targets at which it was in flight.

Cause: a daemon counts targets that end at the same moment once, but each report of another daemon counted as a crash of its own. Where three daemons had the popular request in flight at the target that crashed, one crash was three.

Change: a report names the daemon that saw the crash and how long ago the connection broke. Crashes that different daemons saw within 100 ms of each other count as one; those of one daemon are told apart by it, as before. Own and reported crashes go the same way into the count.

--- a/liblavenderrail/crash.c
+++ b/liblavenderrail/crash.c
@@ -10,9 +10,6 @@
 
 #include <string.h>
 
-/* Connections to a target that break within this time of each other count as
- * one crash. */
-#define SAME_CRASH_WINDOW (100 * LR_MILLISECOND)
 /* How long a broken connection can be confirmed as a crash. A target that has
  * crashed takes longer to start again. */
 #define UNCONFIRMED_CRASH_TTL (2 * LR_SECOND)
@@ -43,20 +40,17 @@
     g_free((char *)((LrCrashReport *)data)->target.ptr);
 }
 
+/* Takes a copy of the target's key. */
 static void
-add_report(LrEngine *engine, LrFingerprint fingerprint, LrCrashEvent event,
-           const LrTarget *target)
+add_report(LrEngine *engine, LrCrashReport report)
 {
     if (engine->crash_reports->len == MAX_REPORTS) {
         LR_LOG(engine->config.log, LOG_WARNING, "crash_report_dropped",
-               LrLog_Hex("fingerprint", fingerprint.content));
+               LrLog_Hex("fingerprint", report.fingerprint.content));
         return;
     }
-    LrCrashReport report = {.fingerprint = fingerprint, .event = event};
-    if (target) {
-        report.target =
-            (LrStr){.ptr = LrStr_Dup(target->key), .len = target->key.len};
-    }
+    report.target.ptr =
+        report.target.len > 0 ? LrStr_Dup(report.target) : NULL;
     g_array_append_val(engine->crash_reports, report);
 }
 
@@ -153,13 +147,13 @@
 crash_context(const LrAttempt *attempt, LrTarget *target, LrTime now)
 {
     if (target->connection_broken_at == 0 ||
-        now - target->connection_broken_at > SAME_CRASH_WINDOW) {
+        now - target->connection_broken_at > LR_SAME_CRASH_WINDOW) {
         target->crash_suspects = target->n_suspects;
         target->crash_requests = target->in_flight;
         /* A cancelled request may still have been running. */
         target->crash_requests +=
             target->cancelled_at > 0 &&
-            now - target->cancelled_at < SAME_CRASH_WINDOW;
+            now - target->cancelled_at < LR_SAME_CRASH_WINDOW;
     }
     target->connection_broken_at = now;
     if (!attempt->sent_as_suspect || target->crash_suspects > 1) {
@@ -263,7 +257,8 @@
     }
     if (LrQuarantine_Check(engine->quarantine, attempt->fingerprint, now) ==
         LR_REQUEST_CLEAR) {
-        add_report(engine, attempt->fingerprint, LR_CRASH_EVENT_BROKEN, NULL);
+        add_report(engine, (LrCrashReport){.fingerprint = attempt->fingerprint,
+                                           .event = LR_CRASH_EVENT_BROKEN});
     }
     schedule_check(engine, target, now);
     return true;
@@ -332,8 +327,11 @@
 static void
 report_quarantined(LrEngine *engine, LrFingerprint fingerprint)
 {
-    add_report(engine, LrQuarantine_KnownAs(engine->quarantine, fingerprint),
-               LR_CRASH_EVENT_QUARANTINED, NULL);
+    add_report(engine, (LrCrashReport){
+                           .fingerprint = LrQuarantine_KnownAs(
+                               engine->quarantine, fingerprint),
+                           .event = LR_CRASH_EVENT_QUARANTINED,
+                       });
 }
 
 static void
@@ -342,9 +340,10 @@
 {
     unsigned n_before =
         LrQuarantine_CountCrashes(engine->quarantine, broken->fingerprint);
-    LrRequestStatus status =
-        LrQuarantine_RecordConfirmed(engine->quarantine, broken->fingerprint,
-                                     broken->sent_at, broken->at, now);
+    LrConfirmedCrash crash = {.sent_at = broken->sent_at,
+                              .broken_at = broken->at};
+    LrRequestStatus status = LrQuarantine_RecordConfirmed(
+        engine->quarantine, broken->fingerprint, &crash, now);
     unsigned n_crashes =
         LrQuarantine_CountCrashes(engine->quarantine, broken->fingerprint);
     /* First, so that peers which count this crash too need not tell it. */
@@ -352,7 +351,10 @@
         report_quarantined(engine, broken->fingerprint);
     }
     if (n_crashes > n_before) {
-        add_report(engine, broken->fingerprint, LR_CRASH_EVENT_CRASH, target);
+        add_report(engine, (LrCrashReport){.fingerprint = broken->fingerprint,
+                                           .event = LR_CRASH_EVENT_CRASH,
+                                           .target = target->key,
+                                           .broken_at = broken->at});
     }
     LrCounters_Add(engine->config.counters, LR_COUNT_CRASHES, 1);
     LR_LOG(engine->config.log, LOG_NOTICE, "crash_confirmed",
@@ -441,7 +443,8 @@
     }
     if (LrQuarantine_CountCrashes(engine->quarantine, query->fingerprint) >
         0) {
-        add_report(engine, query->fingerprint, LR_CRASH_EVENT_ANSWERED, NULL);
+        add_report(engine, (LrCrashReport){.fingerprint = query->fingerprint,
+                                           .event = LR_CRASH_EVENT_ANSWERED});
     }
     LrQuarantine_Clear(engine->quarantine, query->fingerprint);
     clear_suspect(query, now);
@@ -465,8 +468,10 @@
     LrQuarantine *quarantine = engine->quarantine;
     LrRequestStatus before =
         LrQuarantine_Check(quarantine, report->fingerprint, now);
-    LrRequestStatus after =
-        LrQuarantine_AddCrash(quarantine, report->fingerprint, now);
+    LrConfirmedCrash crash = {.reporter = report->reporter,
+                              .broken_at = report->broken_at};
+    LrRequestStatus after = LrQuarantine_RecordConfirmed(
+        quarantine, report->fingerprint, &crash, now);
     if (after == LR_REQUEST_QUARANTINED && before != after) {
         report_quarantined(engine, report->fingerprint);
     }
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -166,11 +166,16 @@
 static void
 on_crash_report(LrDaemon *daemon, const LrCrashReportMsg *message)
 {
-    LrCrashReport report = {.event = message->event,
-                            .target = message->target};
+    LrTime now = LrClock_Now();
+    LrCrashReport report = {
+        .event = message->event,
+        .target = message->target,
+        .broken_at = now - message->broken_ago_ms * LR_MILLISECOND,
+        .reporter = MAX(1, LrStr_Hash(message->reporter, 0)),
+    };
     if (LrFingerprint_FromText(message->fingerprint, message->caller,
                                &report.fingerprint)) {
-        LrEngine_OnCrashReport(daemon->engine, LrClock_Now(), &report);
+        LrEngine_OnCrashReport(daemon->engine, now, &report);
     }
 }
 
@@ -249,7 +254,12 @@
         .caller = LrStr_FromC(text.caller),
         .event = report->event,
         .target = report->target,
+        .reporter = daemon->settings.name,
     };
+    if (report->event == LR_CRASH_EVENT_CRASH) {
+        message.broken_ago_ms =
+            (LrClock_Now() - report->broken_at) / LR_MILLISECOND;
+    }
     /* Probes would spread it as well, but while they do, each daemon that has
      * not heard of it may crash a target of every shard. */
     if (report->event == LR_CRASH_EVENT_QUARANTINED) {
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1920,6 +1920,18 @@
      .offset = offsetof(LrCrashReportMsg, target),
      .hint = "name of the target that is down, or its IP:port where it has no identity",
      .fallback_str = ""},
+    {.name = "broken_ago_ms",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrCrashReportMsg, broken_ago_ms),
+     .hint = "how long ago the connection to that target broke, milliseconds",
+     .min = 0,
+     .max = 3600000,
+     .fallback = 0},
+    {.name = "reporter",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrCrashReportMsg, reporter),
+     .hint = "name of the daemon that tells it",
+     .fallback_str = ""},
 };
 
 const LrRecordDescriptor LrCrashReportMsg_Descriptor = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -818,6 +818,10 @@
     LrCrashEvent event;
     /* name of the target that is down, or its IP:port where it has no identity */
     LrStr target;
+    /* how long ago the connection to that target broke, milliseconds */
+    int64_t broken_ago_ms;
+    /* name of the daemon that tells it */
+    LrStr reporter;
 } LrCrashReportMsg;
 extern const LrRecordDescriptor LrCrashReportMsg_Descriptor;
 #define LR_MSG_CRASH_REPORT 18
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1010,17 +1010,27 @@
                                          LrFingerprint fingerprint,
                                          uint32_t target,
                                          LrCrashContext context, LrTime now);
-/* Records a crash that was confirmed, of a target that had run the request
- * from sent_at to broken_at. Crashes at the same time count as one: a request
- * over many shards is at all their targets, of which several may end of
- * another cause. */
+/* A crash that was found by a check of the target, or by a connect to it. */
+typedef struct {
+    /* Daemon that saw it; 0 for this one. */
+    uint64_t reporter;
+    /* Time in which the target ran the request; sent_at is known of crashes
+     * that this daemon saw only. */
+    LrTime sent_at;
+    LrTime broken_at;
+} LrConfirmedCrash;
+
+/* Crashes within this time of each other may have one cause. */
+#define LR_SAME_CRASH_WINDOW (100 * LR_MILLISECOND)
+
+/* Records a crash that was confirmed. Those of one moment count as one,
+ * whichever daemons saw them: a request over many shards is at all their
+ * targets, and a popular one at the targets of all daemons, of which several
+ * may end of another cause. */
 LrRequestStatus LrQuarantine_RecordConfirmed(LrQuarantine *quarantine,
                                              LrFingerprint fingerprint,
-                                             LrTime sent_at, LrTime broken_at,
+                                             const LrConfirmedCrash *crash,
                                              LrTime now);
-/* Counts a crash that another daemon confirmed. */
-LrRequestStatus LrQuarantine_AddCrash(LrQuarantine *quarantine,
-                                      LrFingerprint fingerprint, LrTime now);
 /* Makes the request a suspect for a moment, until its attempt's target is
  * checked. */
 void LrQuarantine_Suspect(LrQuarantine *quarantine, LrFingerprint fingerprint,
@@ -1229,8 +1239,12 @@
 typedef struct {
     LrFingerprint fingerprint;
     LrCrashEvent event;
-    /* Key of the target that is down, with event crash. */
+    /* With event crash: key of the target that is down, and when the
+     * connection to it broke. */
     LrStr target;
+    LrTime broken_at;
+    /* Hash of the name of the daemon that tells it; 0 for this one. */
+    uint64_t reporter;
 } LrCrashReport;
 
 typedef struct {
--- a/liblavenderrail/quarantine.c
+++ b/liblavenderrail/quarantine.c
@@ -22,20 +22,14 @@
     [LR_REQUEST_QUARANTINED] = "quarantined",
 };
 
-/* Time in which a target ran a request, up to its crash. */
-typedef struct {
-    LrTime start;
-    LrTime end;
-} RunInterval;
-
 typedef struct {
     /* With the caller of the first crash. */
     LrCrashRecord known;
     /* It crashed targets for another caller too. */
     bool any_caller;
-    /* Of the confirmed crashes of this daemon's targets. */
-    RunInterval runs[CRASHES_CONFIRMED];
-    unsigned n_runs;
+    /* The first of the confirmed crashes. */
+    LrConfirmedCrash crashes[CRASHES_CONFIRMED];
+    unsigned n_kept;
     uint32_t last_target;
 } CrashRecord;
 
@@ -192,11 +186,23 @@
     return request_status(record, fingerprint);
 }
 
+/* Whether both are of one moment. A daemon reports each of its own once, and
+ * knows only when those of others ended. */
 static bool
-overlaps(const CrashRecord *record, LrTime start, LrTime end)
+is_same_moment(const LrConfirmedCrash *a, const LrConfirmedCrash *b)
 {
-    for (unsigned i = 0; i < record->n_runs; i++) {
-        if (start < record->runs[i].end && end > record->runs[i].start) {
+    if (a->reporter != b->reporter) {
+        return ABS(a->broken_at - b->broken_at) < LR_SAME_CRASH_WINDOW;
+    }
+    return a->reporter == 0 && a->sent_at < b->broken_at &&
+           a->broken_at > b->sent_at;
+}
+
+static bool
+is_counted(const CrashRecord *record, const LrConfirmedCrash *crash)
+{
+    for (unsigned i = 0; i < record->n_kept; i++) {
+        if (is_same_moment(&record->crashes[i], crash)) {
             return true;
         }
     }
@@ -234,8 +240,8 @@
 
 LrRequestStatus
 LrQuarantine_RecordConfirmed(LrQuarantine *quarantine,
-                             LrFingerprint fingerprint, LrTime sent_at,
-                             LrTime broken_at, LrTime now)
+                             LrFingerprint fingerprint,
+                             const LrConfirmedCrash *crash, LrTime now)
 {
     CrashRecord *record = lookup_record(quarantine, fingerprint, now);
     if (!record) {
@@ -244,34 +250,17 @@
     if (!record) {
         return LR_REQUEST_CLEAR;
     }
-    bool decided =
-        record->known.quarantined && is_of_caller(record, fingerprint);
-    if (decided || overlaps(record, sent_at, broken_at)) {
+    if (request_status(record, fingerprint) == LR_REQUEST_QUARANTINED ||
+        is_counted(record, crash)) {
         return request_status(record, fingerprint);
     }
-    if (record->n_runs < CRASHES_CONFIRMED) {
-        record->runs[record->n_runs++] =
-            (RunInterval){.start = sent_at, .end = broken_at};
+    if (record->n_kept < CRASHES_CONFIRMED) {
+        record->crashes[record->n_kept++] = *crash;
     }
     count_confirmed(record, fingerprint, now);
     return request_status(record, fingerprint);
 }
 
-LrRequestStatus
-LrQuarantine_AddCrash(LrQuarantine *quarantine, LrFingerprint fingerprint,
-                      LrTime now)
-{
-    CrashRecord *record = lookup_record(quarantine, fingerprint, now);
-    if (!record) {
-        record = add_record(quarantine, fingerprint, now);
-    }
-    if (record &&
-        request_status(record, fingerprint) != LR_REQUEST_QUARANTINED) {
-        count_confirmed(record, fingerprint, now);
-    }
-    return request_status(record, fingerprint);
-}
-
 void
 LrQuarantine_Suspect(LrQuarantine *quarantine, LrFingerprint fingerprint,
                      LrTime now)
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -148,6 +148,8 @@
         LrCrashReport report = {};
         report.fingerprint = fingerprint;
         report.event = event;
+        report.reporter = 7;
+        report.broken_at = now;
         LrEngine_OnCrashReport(engine, now, &report);
         collect();
     }
--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -227,6 +227,39 @@
         << innocents->n_served << " of " << innocents->n_sent;
 }
 
+// The same request of many callers is in flight at each target that crashes,
+// sent by several daemons.
+TEST_F(CrashingRequests, APopularRequestBesideThemIsServed)
+{
+    constexpr int CALLERS_PER_DAEMON = 4;
+    ASSERT_NO_FATAL_FAILURE(make(21400));
+    innocents->stop();
+    for (int i = 1; i <= 5; i++) {
+        fleet->fault("c" + std::to_string(i), "work_ms", 60);
+    }
+    std::atomic<bool> stopping = false;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < CALLERS_PER_DAEMON * n_daemons; i++) {
+        callers.emplace_back([&, i] {
+            for (int n = 0; !stopping; n++) {
+                fleet->ask(1 + i % n_daemons, "/c/popular",
+                           "p" + std::to_string(i) + "-" + std::to_string(n));
+            }
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fleet->control(down_for("/c/crash", false));
+    repeat_in_turn("/c/crash", n_daemons);
+    stopping = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    for (int i = 1; i <= n_daemons; i++) {
+        EXPECT_EQ(fleet->ask(i, "/c/popular", "last").status, 200) << i;
+    }
+    expect_refused_by_all("/c/crash");
+}
+
 TEST_F(CrashingRequests, OfTwoKindsAtOnceAreBothRefused)
 {
     ASSERT_NO_FATAL_FAILURE(make(30700));
