crash, fleet: peers are told of every target that is found down

Change: a target that is found down is told to the peers even if its crash is not counted, and a report renews what is known of a target after two seconds. What a target resets while it is known to be down is held against nobody, as before.

Tried and not taken: to count a crash of a target with an open port only where the daemon had a connection kept to it.

--- a/liblavenderrail/crash.c
+++ b/liblavenderrail/crash.c
@@ -334,7 +334,8 @@
                        });
 }
 
-static void
+/* Returns whether it was counted, and told to peers. */
+static bool
 confirm_crash(LrEngine *engine, const LrTarget *target,
               const LrBrokenRequest *broken, LrTime now)
 {
@@ -362,6 +363,7 @@
            LrLog_Str("target", target->name), LrLog_Int("crashes", n_crashes),
            LrLog_CStr("status", LrRequestStatus_Names[status]),
            LrLog_Int("ms", (now - broken->at) / LR_MILLISECOND));
+    return n_crashes > n_before;
 }
 
 /* Settles whether the connections to the target that broke before were broken
@@ -379,15 +381,22 @@
     else if (n > 0) {
         LrTargets_Eject(engine->targets, target, now);
     }
+    bool told = false;
     for (unsigned i = 0; i < n; i++) {
         bool recent = now - broken[i].at < UNCONFIRMED_CRASH_TTL;
         if (down && recent) {
-            confirm_crash(engine, target, &broken[i], now);
+            told |= confirm_crash(engine, target, &broken[i], now);
         }
         else if (!down) {
             LrQuarantine_Unsuspect(engine->quarantine, broken[i].fingerprint);
         }
     }
+    if (down && n > 0 && !told) {
+        add_report(engine,
+                   (LrCrashReport){.fingerprint = broken[0].fingerprint,
+                                   .event = LR_CRASH_EVENT_DOWN,
+                                   .target = target->key});
+    }
     for (unsigned i = 0; i < n; i++) {
         reconsider(engine, broken[i].fingerprint, now);
     }
@@ -456,7 +465,12 @@
 mark_down(LrEngine *engine, LrStr key, LrTime now)
 {
     LrTarget *target = LrTargets_Lookup(engine->targets, key);
-    if (target && target->broken_at == 0) {
+    if (!target) {
+        return;
+    }
+    bool is_known = target->broken_at > 0 &&
+                    now - target->broken_at < UNCONFIRMED_CRASH_TTL;
+    if (!is_known) {
         target->broken_at = now;
         LrTargets_Eject(engine->targets, target, now);
     }
@@ -492,6 +506,9 @@
     case LR_CRASH_EVENT_CRASH:
         count_reported(engine, report, now);
         break;
+    case LR_CRASH_EVENT_DOWN:
+        mark_down(engine, report->target, now);
+        break;
     case LR_CRASH_EVENT_QUARANTINED:
         LrQuarantine_Add(quarantine, report->fingerprint,
                          now + LR_QUARANTINE_TTL, now);
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -53,6 +53,7 @@
     "crash",
     "answered",
     "quarantined",
+    "down",
     NULL,
 };
 
@@ -1912,7 +1913,7 @@
     {.name = "event",
      .kind = LR_FIELD_ENUM,
      .offset = offsetof(LrCrashReportMsg, event),
-     .hint = "what happened to an attempt of it, or that it is refused from now on",
+     .hint = "what happened to an attempt of it, that it is refused from now on, or that the target is down",
      .choices = LrCrashEvent_Names,
      .fallback = 0},
     {.name = "target",
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -63,6 +63,7 @@
     LR_CRASH_EVENT_CRASH,
     LR_CRASH_EVENT_ANSWERED,
     LR_CRASH_EVENT_QUARANTINED,
+    LR_CRASH_EVENT_DOWN,
     LR_CRASH_EVENT_COUNT
 } LrCrashEvent;
 extern const char *const LrCrashEvent_Names[];
@@ -814,7 +815,7 @@
     LrStr fingerprint;
     /* 16 hexadecimal digits; hash of who asks, 0 or empty for any caller */
     LrStr caller;
-    /* what happened to an attempt of it, or that it is refused from now on */
+    /* what happened to an attempt of it, that it is refused from now on, or that the target is down */
     LrCrashEvent event;
     /* name of the target that is down, or its IP:port where it has no identity */
     LrStr target;
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1239,9 +1239,9 @@
 typedef struct {
     LrFingerprint fingerprint;
     LrCrashEvent event;
-    /* With event crash: key of the target that is down, and when the
-     * connection to it broke. */
+    /* With events crash and down: key of the target that is down. */
     LrStr target;
+    /* With event crash: when the connection to it broke. */
     LrTime broken_at;
     /* Hash of the name of the daemon that tells it; 0 for this one. */
     uint64_t reporter;
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -143,9 +143,11 @@
 
     // Takes the report of another daemon.
     void
-    take_report(LrFingerprint fingerprint, LrCrashEvent event)
+    take_report(LrFingerprint fingerprint, LrCrashEvent event,
+                const std::string &target = "")
     {
         LrCrashReport report = {};
+        report.target = {target.data(), target.size()};
         report.fingerprint = fingerprint;
         report.event = event;
         report.reporter = 7;
--- a/tests/test_crash.cc
+++ b/tests/test_crash.cc
@@ -205,6 +205,43 @@
     EXPECT_EQ(harness.count(LR_COUNT_CRASHES), 1u);
 }
 
+TEST(Crash, WhatATargetThatAPeerFoundDownResetsIsNotToBlame)
+{
+    CrashHarness harness(1, 1);
+    harness.submit("once", false, "first");
+    std::string target = harness.sends.front().address;
+    harness.reply(harness.take(), LR_REPLY_OK);
+    for (int i = 0; i < 6; i++) {
+        harness.take_report(fingerprint_of("crashes", 1), LR_CRASH_EVENT_DOWN,
+                            target);
+        harness.advance(MS);
+        harness.submit("once", false, "bystander");
+        harness.end_all(LR_REPLY_BROKEN, LR_CHECK_DOWN);
+        EXPECT_NE(harness.last_reason(), LR_REASON_QUARANTINED);
+        harness.advance(2100 * MS);
+    }
+    EXPECT_EQ(harness.count(LR_COUNT_CRASHES), 0u);
+}
+
+TEST(Crash, EachTargetThatIsFoundDownIsTold)
+{
+    constexpr int N_GROUPS = 6;
+    CrashHarness harness(N_GROUPS, 1);
+    harness.caller = 1;
+    harness.submit("strict", false, "crashes");
+    harness.now += MS;
+    while (!harness.sends.empty()) {
+        harness.reply(harness.take(), LR_REPLY_BROKEN);
+    }
+    harness.advance(20 * MS);
+    while (!harness.checks.empty()) {
+        harness.end_check(LR_CHECK_DOWN);
+    }
+    std::vector<LrCrashEvent> expected(N_GROUPS, LR_CRASH_EVENT_DOWN);
+    expected[0] = LR_CRASH_EVENT_CRASH;
+    EXPECT_EQ(events_of(harness.take_reports()), expected);
+}
+
 TEST(Crash, ARequestThatCrashesTargetsForOneCallerIsOnlyASuspectForOthers)
 {
     CrashHarness harness(1, 9);
