--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -60,9 +60,9 @@
     LrAggregators *aggregators;
     LrLeavingTargets *leaving;
     /* Targets that said themselves that they are leaving. */
+    LrLeavingTargets *stated_leaving;
     /* Index of the next quarantined request to tell a peer of. */
     size_t next_quarantined;
-    LrLeavingTargets *stated_leaving;
     LrRelay *relay;
     LrHandoff *handoff;
     GHashTable *forwarded_calls;
--- a/liblavenderrail/routing.h
+++ b/liblavenderrail/routing.h
@@ -37,8 +37,8 @@
  * of each route. The routes are attached to it. What has not changed since the
  * previous catalogue, which may be NULL, is shared with it. The version of the
  * configuration never goes back: of a lower one only the targets are used.
- * Returns NULL if
- * the store has no configuration; NULL and the faults if it is invalid. */
+ * Returns NULL if the store has no configuration; NULL and the faults if it is
+ * invalid. */
 LrCatalogue *LrRouting_Build(const LrValueSet *store,
                              const LrCatalogue *previous, LrFaults *faults);
 /* Routes of a catalogue; NULL if it was not built from routes. */
