target_reach, gateway: a host notices that it reaches no target

A host that loses its links to all targets only ejected them one by one, so logs and metrics could not tell it from a host whose targets all fail. The detector raises doubt when several targets refuse connections or keep requests waiting in silence, checks those that replied last on new connections, and logs targets_lost and targets_regained.

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -274,6 +274,8 @@
     if (daemon->gateway) {
         LrTargets_EvaluateZones(LrEngine_Targets(daemon->engine),
                                 LrClock_Now());
+        LrGateway_EvaluateReach(daemon->gateway, LrClock_Now());
+        LrDaemon_RunActions(daemon);
     }
     update_readiness(daemon);
     LrLog_Flush(daemon->log);
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -326,6 +326,7 @@
     gateway->timers = LrLoopTimers_New(daemon->loop);
     gateway->attempts = LrGateway_NewAttempts();
     gateway->checks = LrGateway_NewChecks();
+    gateway->reach = LrTargetReach_New(daemon->log, daemon->counters);
     gateway->forward = LrForward_New(gateway);
     LrUpstreamConfig upstream = {
         .loop = daemon->loop,
@@ -337,6 +338,7 @@
         .max_head_bytes = MAX_RESPONSE_HEAD_BYTES,
         .max_body_bytes = MAX_RESPONSE_BODY_BYTES,
         .max_buffered_bytes = MAX_BUFFERED_BYTES,
+        .connect_ended = LrGateway_OnConnectEnded,
         .idle_changed = on_idle_changed,
         .data = gateway,
         .max_connections = (size_t)MAX(
@@ -362,6 +364,7 @@
     LrUpstream_Free(gateway->upstream);
     g_hash_table_unref(gateway->attempts);
     g_hash_table_unref(gateway->checks);
+    LrTargetReach_Free(gateway->reach);
     LrLoopTimers_Free(gateway->timers);
     g_free(gateway);
 }
@@ -394,7 +397,9 @@
 LrGateway_Dump(const LrGateway *gateway)
 {
     return json_pack(
-        "{s:I, s:I, s:I}", "caller_connections",
+        "{s:s, s:I, s:I, s:I}", "target_reach",
+        LrReachState_Names[LrTargetReach_State(gateway->reach)],
+        "caller_connections",
         (json_int_t)LrCallerServer_CountConnections(gateway->caller_server),
         "target_connections",
         (json_int_t)LrUpstream_CountConnections(gateway->upstream), "attempts",
--- a/liblavenderrail/gateway.h
+++ b/liblavenderrail/gateway.h
@@ -18,6 +18,9 @@
 void LrGateway_Send(LrGateway *gateway, const LrAction *action);
 /* Checks whether the target of the action is up, and tells the engine. */
 void LrGateway_Check(LrGateway *gateway, const LrAction *action);
+/* Looks for signs that this daemon has lost its links to the targets; to be
+ * called ten times a second. */
+void LrGateway_EvaluateReach(LrGateway *gateway, LrTime now);
 /* Cancels an attempt; false when the gateway has no attempt of that id. */
 bool LrGateway_Cancel(LrGateway *gateway, uint64_t attempt);
 void LrGateway_Answered(LrRoutedRequest *routed, const LrAnswer *answer);
--- a/liblavenderrail/gateway_attempt.c
+++ b/liblavenderrail/gateway_attempt.c
@@ -112,8 +112,12 @@
     LrReply reply;
     classify_response(attempt->routed, end, response, &reply);
     log_attempt(attempt, &reply);
+    if (end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED) {
+        LrTargetReach_OnReply(gateway->reach, now);
+    }
     LrEngine_Advance(daemon->engine, now);
     LrEngine_OnReply(daemon->engine, now, attempt->id, &reply);
+    LrGateway_UpdateReach(gateway, now);
     g_clear_pointer(&reply.head, g_bytes_unref);
     g_clear_pointer(&reply.body, g_bytes_unref);
     g_hash_table_remove(gateway->attempts, &attempt->id);
--- a/liblavenderrail/gateway_check.c
+++ b/liblavenderrail/gateway_check.c
@@ -1,5 +1,5 @@
 /* The gateway of the routed interface: checks whether a target is up, after a
- * connection to it broke. */
+ * connection to it broke, and whether this daemon reaches targets at all. */
 #include "gateway_private.h"
 
 /* A target that is up answers a check as soon as it has a slot. */
@@ -12,6 +12,8 @@
     LrStr instance;
     LrStr path;
     LrTime deadline;
+    /* Asks only whether the target can be reached. */
+    bool for_reach;
     /* The first connection, which was in use before, had been closed; that
      * tells nothing. */
     bool repeated;
@@ -77,11 +79,29 @@
 
 static void send_check(Check *check);
 
+static void
+end_reach_check(Check *check, LrUpstreamEnd end)
+{
+    LrGateway *gateway = check->gateway;
+    LrTime now = LrClock_Now();
+    LrEngine_Advance(gateway->daemon->engine, now);
+    LrTargetReach_OnCheck(
+        gateway->reach, end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED,
+        now);
+    g_hash_table_remove(gateway->checks, check);
+    LrGateway_UpdateReach(gateway, now);
+    LrDaemon_RunActions(gateway->daemon);
+}
+
 static void
 on_done(void *data, LrUpstreamEnd end, LrHttpMessage *response)
 {
     Check *check = data;
     LrDaemon *daemon = check->gateway->daemon;
+    if (check->for_reach) {
+        end_reach_check(check, end);
+        return;
+    }
     if (end == LR_UPSTREAM_STALE && !check->repeated) {
         check->repeated = true;
         send_check(check);
@@ -107,7 +127,8 @@
         .data = check,
         .deadline = check->deadline,
         .idle_timeout = LR_NEVER,
-        .max_idle_for_reuse = check->repeated ? 0 : LR_NEVER,
+        .max_idle_for_reuse =
+            check->repeated || check->for_reach ? 0 : LR_NEVER,
     };
     LrUpstream_Send(check->gateway->upstream, &spec);
 }
@@ -127,6 +148,20 @@
     return LrStr_FromC("");
 }
 
+static Check *
+new_check(LrGateway *gateway, const LrTarget *target, LrStr path)
+{
+    Check *check = g_new0(Check, 1);
+    check->gateway = gateway;
+    check->key = copy_str(target->key);
+    check->address = copy_str(target->address);
+    check->instance = copy_str(target->instance);
+    check->path = copy_str(path);
+    check->deadline = LrClock_Now() + CHECK_TIMEOUT;
+    g_hash_table_add(gateway->checks, check);
+    return check;
+}
+
 void
 LrGateway_Check(LrGateway *gateway, const LrAction *action)
 {
@@ -137,13 +172,18 @@
                          LR_CHECK_UNKNOWN);
         return;
     }
-    Check *check = g_new0(Check, 1);
-    check->gateway = gateway;
-    check->key = copy_str(target->key);
-    check->address = copy_str(target->address);
-    check->instance = copy_str(target->instance);
-    check->path = copy_str(path);
-    check->deadline = LrClock_Now() + CHECK_TIMEOUT;
-    g_hash_table_add(gateway->checks, check);
+    send_check(new_check(gateway, target, path));
+}
+
+void
+LrGateway_CheckReach(LrGateway *gateway, const LrTarget *target)
+{
+    const LrGroup *group = target->groups->pdata[0];
+    LrStr path = health_path(gateway, group->name);
+    /* Any answer will do, also that there is no such path. */
+    Check *check =
+        new_check(gateway, target, path.len > 0 ? path : LrStr_FromC("/"));
+    check->for_reach = true;
+    LrCounters_Add(gateway->daemon->counters, LR_COUNT_REACH_CHECKS, 1);
     send_check(check);
 }
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -6,6 +6,7 @@
 #include "forward.h"
 #include "gateway.h"
 #include "routing.h"
+#include "target_reach.h"
 #include "upstream.h"
 
 enum {
@@ -25,6 +26,7 @@
     GHashTable *attempts;
     /* Running checks of targets. */
     GHashTable *checks;
+    LrTargetReach *reach;
     LrForward *forward;
     /* Complete answers so far; a sample of them is logged. */
     uint64_t n_complete;
@@ -86,6 +88,17 @@
 /* Creates the set of running checks. */
 GHashTable *LrGateway_NewChecks(void);
 
+/* Checks on a new connection whether any answer comes from the target, and
+ * tells the gateway's LrTargetReach. */
+void LrGateway_CheckReach(LrGateway *gateway, const LrTarget *target);
+
+/* gateway_reach.c */
+/* Whether this daemon reaches no target. */
+bool LrGateway_IsCutOff(const LrGateway *gateway);
+void LrGateway_OnConnectEnded(void *gateway, LrStr key, bool established);
+/* Acts on what is now known of the links to the targets. */
+void LrGateway_UpdateReach(LrGateway *gateway, LrTime now);
+
 /* gateway_answer.c */
 /* How long callers should wait before a retry, by reason of the refusal. */
 LrTime LrGateway_RetryAfter(LrReason reason);
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -2001,6 +2001,9 @@
     "target_pauses",
     "target_limits",
     "rate_limited",
+    "targets_lost",
+    "reach_checks",
+    "delegated",
 };
 
 const char *const LrCounterId_Help[] = {
@@ -2061,6 +2064,9 @@
     "Times that a target asked for a pause.",
     "Rate limits that targets named, changed or ended.",
     "Selections of a target that left out one whose rate limit was used up.",
+    "Times that this daemon was cut off from all targets.",
+    "Checks of whether this daemon reaches targets.",
+    "Requests handed to another daemon because this one reached no target.",
 };
 
 /* clang-format on */
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -886,6 +886,9 @@
     LR_COUNT_TARGET_PAUSES,
     LR_COUNT_TARGET_LIMITS,
     LR_COUNT_RATE_LIMITED,
+    LR_COUNT_TARGETS_LOST,
+    LR_COUNT_REACH_CHECKS,
+    LR_COUNT_DELEGATED,
     LR_COUNT_COUNT
 } LrCounterId;
 extern const char *const LrCounterId_Names[];
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -681,6 +681,9 @@
                             uint32_t connections, LrTime now);
 void LrTargets_Release(LrTargets *targets, LrTarget *target);
 LrTarget *LrTargets_Lookup(LrTargets *targets, LrStr key);
+/* When the oldest request in flight at the target was sent, if the target has
+ * replied to nothing since; 0 otherwise. */
+LrTime LrTargets_WaitingSince(const LrTarget *target);
 void LrTargets_Each(LrTargets *targets, void (*func)(void *, LrTarget *),
                     void *data);
 const LrSelectionPolicy *LrTargets_Policy(const LrTargets *targets);
--- /dev/null
+++ b/liblavenderrail/target_reach.c
@@ -0,0 +1,257 @@
+/* A daemon that loses its links to all targets sees the same as one whose
+ * targets all fail: connections that hang, are reset or refused. While several
+ * targets fail, it checks those that answered last, each on a new connection.
+ * If none of them answers, the daemon is cut off, whatever still arrives on
+ * older connections; answered checks end that. */
+#include "target_reach.h"
+
+/* No reply for this long, while requests wait for as long, puts the links in
+ * doubt. Targets reply many times within it to a daemon with some load; a
+ * doubt that is wrong costs only the checks. */
+#define SILENCE_TIME (150 * LR_MILLISECOND)
+/* Pause between two sets of checks. */
+#define CHECK_INTERVAL (250 * LR_MILLISECOND)
+/* After an answered check, failures of single targets raise no doubt for this
+ * long. */
+#define TRUST_TIME (500 * LR_MILLISECOND)
+/* A daemon that was cut off takes its requests back over this time, so that
+ * many daemons that return together don't open all their connections at
+ * once. */
+#define RETURN_TIME LR_SECOND
+/* Evaluations are 100 ms apart. After a longer gap this process was paused or
+ * slow, and what arrived in the meantime is still to be read. */
+#define MAX_ROUND_GAP (500 * LR_MILLISECOND)
+
+enum {
+    /* Targets that refuse connections, and targets with overdue requests, that
+     * raise doubt; all targets where there are fewer. */
+    MIN_FAILED = 2,
+    MIN_OVERDUE = 3,
+    /* Answered checks that end the cut. */
+    MIN_ANSWERED = 2,
+    MAX_FAILED = 16,
+};
+
+const char *const LrReachState_Names[] = {
+    [LR_REACH_NORMAL] = "normal",
+    [LR_REACH_IN_DOUBT] = "in_doubt",
+    [LR_REACH_CUT_OFF] = "cut_off",
+};
+
+struct LrTargetReach {
+    LrLog *log;
+    LrCounters *counters;
+    LrReachState state;
+    size_t n_targets;
+    /* Targets to which a connection failed since one was established. */
+    uint32_t failed[MAX_FAILED];
+    size_t n_failed;
+    size_t n_overdue;
+    LrTime last_reply_at;
+    LrTime evaluated_at;
+    LrTime checked_at;
+    LrTime trusted_until;
+    /* Checks since the doubt or the cut began. */
+    unsigned n_unanswered;
+    unsigned n_answered;
+    LrTime cut_at;
+    LrTime regained_at;
+};
+
+LrTargetReach *
+LrTargetReach_New(LrLog *log, LrCounters *counters)
+{
+    LrTargetReach *reach = g_new0(LrTargetReach, 1);
+    reach->log = log;
+    reach->counters = counters;
+    return reach;
+}
+
+void
+LrTargetReach_Free(LrTargetReach *reach)
+{
+    g_free(reach);
+}
+
+LrReachState
+LrTargetReach_State(const LrTargetReach *reach)
+{
+    return reach->state;
+}
+
+static void
+set_state(LrTargetReach *reach, LrReachState state, LrTime now)
+{
+    reach->state = state;
+    reach->n_answered = 0;
+    reach->n_unanswered = 0;
+    LR_LOG(
+        reach->log, LOG_INFO, "target_reach",
+        LrLog_CStr("state", LrReachState_Names[state]),
+        LrLog_Int("connects_failed", (int64_t)reach->n_failed),
+        LrLog_Int("overdue", (int64_t)reach->n_overdue),
+        LrLog_Int("silent_ms", (now - reach->last_reply_at) / LR_MILLISECOND));
+}
+
+/* Raises doubt when enough targets fail; checks settle it. */
+static void
+consider(LrTargetReach *reach, LrTime now)
+{
+    if (reach->state != LR_REACH_NORMAL || reach->n_targets == 0 ||
+        now < reach->trusted_until) {
+        return;
+    }
+    bool refused = reach->n_failed >= MIN(MIN_FAILED, reach->n_targets);
+    bool silent = reach->n_overdue >= MIN(MIN_OVERDUE, reach->n_targets) &&
+                  LrTargetReach_IsSilent(reach, now);
+    if (refused || silent) {
+        set_state(reach, LR_REACH_IN_DOUBT, now);
+    }
+}
+
+void
+LrTargetReach_OnReply(LrTargetReach *reach, LrTime now)
+{
+    reach->last_reply_at = now;
+}
+
+void
+LrTargetReach_OnConnected(LrTargetReach *reach)
+{
+    reach->n_failed = 0;
+}
+
+bool
+LrTargetReach_HasFailed(const LrTargetReach *reach, uint32_t target)
+{
+    for (size_t i = 0; i < reach->n_failed; i++) {
+        if (reach->failed[i] == target) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+LrTargetReach_OnConnectFailed(LrTargetReach *reach, uint32_t target,
+                              LrTime now)
+{
+    if (reach->n_failed < MAX_FAILED &&
+        !LrTargetReach_HasFailed(reach, target)) {
+        reach->failed[reach->n_failed++] = target;
+    }
+    consider(reach, now);
+}
+
+void
+LrTargetReach_BeginRound(LrTargetReach *reach)
+{
+    reach->n_overdue = 0;
+}
+
+void
+LrTargetReach_OnWaiting(LrTargetReach *reach, LrTime oldest_sent_at,
+                        LrTime now)
+{
+    reach->n_overdue += now - oldest_sent_at > SILENCE_TIME;
+}
+
+void
+LrTargetReach_Evaluate(LrTargetReach *reach, size_t n_targets, LrTime now)
+{
+    if (reach->evaluated_at == 0 ||
+        now - reach->evaluated_at > MAX_ROUND_GAP) {
+        reach->last_reply_at = now;
+        reach->n_failed = 0;
+    }
+    reach->evaluated_at = now;
+    reach->n_targets = n_targets;
+    if (n_targets == 0 && reach->state != LR_REACH_NORMAL) {
+        set_state(reach, LR_REACH_NORMAL, now);
+    }
+    consider(reach, now);
+}
+
+bool
+LrTargetReach_TakeChecks(LrTargetReach *reach, LrTime now)
+{
+    if (reach->state == LR_REACH_NORMAL ||
+        (reach->checked_at > 0 && now - reach->checked_at < CHECK_INTERVAL)) {
+        return false;
+    }
+    reach->checked_at = now;
+    return true;
+}
+
+static void
+on_cut_off(LrTargetReach *reach, LrTime now)
+{
+    set_state(reach, LR_REACH_CUT_OFF, now);
+    reach->cut_at = now;
+    LrCounters_Add(reach->counters, LR_COUNT_TARGETS_LOST, 1);
+    LR_LOG(
+        reach->log, LOG_WARNING, "targets_lost",
+        LrLog_Int("connects_failed", (int64_t)reach->n_failed),
+        LrLog_Int("overdue", (int64_t)reach->n_overdue),
+        LrLog_Int("silent_ms", (now - reach->last_reply_at) / LR_MILLISECOND));
+}
+
+static void
+on_regained(LrTargetReach *reach, LrTime now)
+{
+    set_state(reach, LR_REACH_NORMAL, now);
+    reach->regained_at = now;
+    LR_LOG(reach->log, LOG_WARNING, "targets_regained",
+           LrLog_Int("ms", (now - reach->cut_at) / LR_MILLISECOND));
+}
+
+static void
+on_answered(LrTargetReach *reach, LrTime now)
+{
+    reach->last_reply_at = now;
+    reach->n_failed = 0;
+    reach->n_unanswered = 0;
+    reach->n_answered++;
+    if (reach->state == LR_REACH_IN_DOUBT) {
+        reach->trusted_until = now + TRUST_TIME;
+        set_state(reach, LR_REACH_NORMAL, now);
+    }
+    else if (reach->state == LR_REACH_CUT_OFF &&
+             reach->n_answered >= MIN(MIN_ANSWERED, reach->n_targets)) {
+        reach->trusted_until = now + TRUST_TIME;
+        on_regained(reach, now);
+    }
+}
+
+void
+LrTargetReach_OnCheck(LrTargetReach *reach, bool answered, LrTime now)
+{
+    if (answered) {
+        on_answered(reach, now);
+        return;
+    }
+    reach->n_unanswered++;
+    if (reach->state == LR_REACH_IN_DOUBT &&
+        reach->n_unanswered >= MIN(LR_REACH_CHECKS, reach->n_targets)) {
+        on_cut_off(reach, now);
+    }
+}
+
+bool
+LrTargetReach_IsSilent(const LrTargetReach *reach, LrTime now)
+{
+    return now - reach->last_reply_at > SILENCE_TIME;
+}
+
+double
+LrTargetReach_DelegatedShare(const LrTargetReach *reach, LrTime now)
+{
+    if (reach->state == LR_REACH_CUT_OFF) {
+        return 1;
+    }
+    LrTime since = now - reach->regained_at;
+    if (reach->regained_at == 0 || since >= RETURN_TIME) {
+        return 0;
+    }
+    return 1 - (double)since / (double)RETURN_TIME;
+}
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -733,12 +733,20 @@
     return targets->zone_detector;
 }
 
+LrTime
+LrTargets_WaitingSince(const LrTarget *target)
+{
+    const LrAttempt *oldest = TAILQ_FIRST(&target->attempts);
+    return oldest && target->last_reply_at <= oldest->sent_at ? oldest->sent_at
+                                                              : 0;
+}
+
 static void
 report_waiting(void *data, LrTarget *target)
 {
-    const LrAttempt *oldest = TAILQ_FIRST(&target->attempts);
-    if (oldest && target->last_reply_at <= oldest->sent_at) {
-        LrZone_OnWaiting(target->zone_state, oldest->sent_at, *(LrTime *)data);
+    LrTime since = LrTargets_WaitingSince(target);
+    if (since > 0) {
+        LrZone_OnWaiting(target->zone_state, since, *(LrTime *)data);
     }
 }
 
--- a/liblavenderrail/upstream.c
+++ b/liblavenderrail/upstream.c
@@ -36,8 +36,8 @@
     LrUpstream *upstream;
     LrUpstreamSpec spec;
     Conn *conn;
-    /* Set while LrUpstream_Send runs: a write failure only sets failed then,
-     * and is reported from the loop. */
+    /* Set while LrUpstream_Send runs: a failed connect or write only sets
+     * failed then, and is reported from the loop. */
     bool sending;
     bool failed;
     LrTimer timer;
@@ -121,6 +121,15 @@
     }
 }
 
+static void
+report_connect(const LrUpstream *upstream, LrStr key, bool established)
+{
+    const LrUpstreamConfig *config = &upstream->config;
+    if (config->connect_ended) {
+        config->connect_ended(config->data, key, established);
+    }
+}
+
 static void
 set_buffered(Conn *conn, size_t n_bytes)
 {
@@ -227,6 +236,9 @@
 {
     LrUpstreamRequest *request = conn->request;
     conn->request = NULL;
+    if (conn->state == CONN_CONNECTING) {
+        report_connect(conn->upstream, conn->pool->key, false);
+    }
     bool reusable = end == LR_UPSTREAM_OK && !conn->must_close &&
                     LrHttpMessage_KeepsAlive(conn->response) &&
                     conn->n_written == conn->output->len;
@@ -411,6 +423,7 @@
         return;
     }
     LrLoopTimers_Clear(conn->upstream->config.timers, &conn->timer);
+    report_connect(conn->upstream, conn->pool->key, true);
     start_request(conn);
 }
 
@@ -451,6 +464,9 @@
     (void)now;
     LrUpstreamRequest *request = data;
     if (!request->conn) {
+        if (request->failed) {
+            report_connect(request->upstream, request->spec.key, false);
+        }
         request->spec.done(request->spec.data, LR_UPSTREAM_NOT_SENT, NULL);
         free_request(request);
         return;
@@ -547,6 +563,7 @@
     }
     request->conn = conn;
     if (!conn) {
+        request->failed = upstream->n_open < upstream->config.max_connections;
         if (pool->n_open == 0) {
             g_hash_table_remove(upstream->pools, &pool->key);
         }
--- a/liblavenderrail/upstream.h
+++ b/liblavenderrail/upstream.h
@@ -61,6 +61,9 @@
     size_t max_body_bytes;
     size_t max_buffered_bytes;
     size_t max_connections;
+    /* A new connection to the target of that key was established, or could
+     * not be. Called before done of the request; may be NULL. */
+    void (*connect_ended)(void *data, LrStr key, bool established);
     /* The number of idle connections of that key is now n_idle. */
     void (*idle_changed)(void *data, LrStr key, size_t n_idle);
     void *data;
