--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -3,8 +3,10 @@
  *
  * Control paths, each answered with 200 once the change is in effect:
  *   POST /control/config           stores the body as the configuration
- *   POST /control/server?id&service&address&zone[&state][&cold]
- *                                  starts a searcher and registers it
+ *   POST /control/server?id&service&address&zone[&state][&cold][&listen]
+ *                                  starts a searcher and registers it; with
+ *                                  listen it listens there, behind a proxy at
+ *                                  its address
  *   POST /control/entry?id&state[&address]
  *                                  rewrites a searcher's entry; an address
  *                                  makes it the entry of a restarted
@@ -656,11 +658,12 @@
     g_autofree char *service = text_argument(exchange, "service");
     g_autofree char *zone = text_argument(exchange, "zone");
     g_autofree char *address = text_argument(exchange, "address");
+    g_autofree char *listen = text_argument(exchange, "listen");
     Searcher *searcher = g_new0(Searcher, 1);
     searcher->standin = standin;
     searcher->id = g_strdup(id);
     searcher->service = g_strdup(service);
-    searcher->address = g_strdup(address);
+    searcher->address = g_strdup(listen[0] != '\0' ? listen : address);
     searcher->faults.work_ms = 3;
     searcher->crash_timer =
         (LrTimer){.func = on_crash_timer, .data = searcher};
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -333,12 +333,13 @@
         .timers = gateway->timers,
         .log = daemon->log,
         .counters = daemon->counters,
+        .source = daemon->settings.target_source,
         .connect_timeout =
             daemon->settings.connect_timeout_ms * LR_MILLISECOND,
         .max_head_bytes = MAX_RESPONSE_HEAD_BYTES,
         .max_body_bytes = MAX_RESPONSE_BODY_BYTES,
         .max_buffered_bytes = MAX_BUFFERED_BYTES,
-        .connect_ended = LrGateway_OnConnectEnded,
+        .first_used = LrGateway_OnFirstUse,
         .idle_changed = on_idle_changed,
         .data = gateway,
         .max_connections = (size_t)MAX(
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -95,7 +95,8 @@
 /* gateway_reach.c */
 /* Whether this daemon reaches no target. */
 bool LrGateway_IsCutOff(const LrGateway *gateway);
-void LrGateway_OnConnectEnded(void *gateway, LrStr key, bool established);
+/* Called by the upstream for each new connection to a target. */
+void LrGateway_OnFirstUse(void *gateway, LrStr key, bool answered);
 /* Acts on what is now known of the links to the targets. */
 void LrGateway_UpdateReach(LrGateway *gateway, LrTime now);
 
--- a/liblavenderrail/gateway_reach.c
+++ b/liblavenderrail/gateway_reach.c
@@ -86,13 +86,13 @@
 }
 
 void
-LrGateway_OnConnectEnded(void *data, LrStr key, bool established)
+LrGateway_OnFirstUse(void *data, LrStr key, bool answered)
 {
     LrGateway *gateway = data;
     LrTarget *target =
         LrTargets_Lookup(LrEngine_Targets(gateway->daemon->engine), key);
-    if (established) {
-        LrTargetReach_OnConnected(gateway->reach);
+    if (answered) {
+        LrTargetReach_OnNewConnection(gateway->reach);
     }
     else if (target) {
         LrTargetReach_OnConnectFailed(gateway->reach, target->index,
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -351,6 +351,8 @@
     LrStr peer_listen;
     /* IP:port at which other daemons reach --peer-listen; empty when it is the same */
     LrStr peer_address;
+    /* local IP from which targets are connected to, on a host that has several; empty when the system chooses */
+    LrStr target_source;
     /* http://IP:port of the configuration service */
     LrStr config_url;
     /* http://IP:port of the host list */
--- a/liblavenderrail/peer.c
+++ b/liblavenderrail/peer.c
@@ -256,8 +256,9 @@
 static Connection *
 open_connection(LrPeers *peers, LrStr address)
 {
-    int fd = peers->n_connections < MAX_CONNECTIONS ? LrSocket_Connect(address)
-                                                    : -1;
+    int fd = peers->n_connections < MAX_CONNECTIONS
+                 ? LrSocket_Connect(address, LrStr_FromC(""))
+                 : -1;
     if (fd < 0) {
         return NULL;
     }
--- a/liblavenderrail/settings.c
+++ b/liblavenderrail/settings.c
@@ -1,6 +1,7 @@
 /* Settings of a daemon. In order of precedence: command-line options,
  * environment variables, the settings file, defaults. */
 #include "lavenderrail.h"
+#include "socket.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -142,6 +143,13 @@
     check_address(settings->operator_listen, "--operator-listen", faults);
     check_address(settings->peer_listen, "--peer-listen", faults);
     check_address(settings->peer_address, "--peer-address", faults);
+    if (settings->target_source.len > 0 &&
+        !LrSocket_IsIp(settings->target_source)) {
+        LrFaults_Add(faults, "--target-source", "write an IPv4 address",
+                     "is not one: '%.*s'",
+                     (int)MIN(settings->target_source.len, 64),
+                     settings->target_source.ptr);
+    }
     check_url(settings->config_url, "--config-url", faults);
     if (settings->hosts_url.len > 0) {
         check_url(settings->hosts_url, "--hosts-url", faults);
--- a/liblavenderrail/socket.c
+++ b/liblavenderrail/socket.c
@@ -60,17 +60,38 @@
     return fd;
 }
 
+static bool
+parse_ip(LrStr text, struct in_addr *out)
+{
+    g_autofree char *copy = LrStr_Dup(text);
+    return inet_pton(AF_INET, copy, out) == 1;
+}
+
+bool
+LrSocket_IsIp(LrStr text)
+{
+    struct in_addr ip;
+    return parse_ip(text, &ip);
+}
+
 int
-LrSocket_Connect(LrStr address)
+LrSocket_Connect(LrStr address, LrStr source)
 {
     struct sockaddr_in to;
-    if (!parse_address(address, &to)) {
+    struct sockaddr_in from = {.sin_family = AF_INET};
+    if (!parse_address(address, &to) ||
+        (source.len > 0 && !parse_ip(source, &from.sin_addr))) {
         return -1;
     }
     int fd = open_socket();
     if (fd < 0) {
         return -1;
     }
+    if (source.len > 0 &&
+        bind(fd, (struct sockaddr *)&from, sizeof(from)) < 0) {
+        close(fd);
+        return -1;
+    }
     if (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0 &&
         errno != EINPROGRESS) {
         close(fd);
--- a/liblavenderrail/target_reach.c
+++ b/liblavenderrail/target_reach.c
@@ -43,7 +43,8 @@
     LrCounters *counters;
     LrReachState state;
     size_t n_targets;
-    /* Targets to which a connection failed since one was established. */
+    /* Targets to which a new connection failed since the last one on which a
+     * target answered. */
     uint32_t failed[MAX_FAILED];
     size_t n_failed;
     size_t n_overdue;
@@ -116,7 +117,7 @@
 }
 
 void
-LrTargetReach_OnConnected(LrTargetReach *reach)
+LrTargetReach_OnNewConnection(LrTargetReach *reach)
 {
     reach->n_failed = 0;
 }
--- a/liblavenderrail/target_reach.h
+++ b/liblavenderrail/target_reach.h
@@ -29,12 +29,13 @@
 LrReachState LrTargetReach_State(const LrTargetReach *reach);
 /* Anything was received from a target in reply to a request. */
 void LrTargetReach_OnReply(LrTargetReach *reach, LrTime now);
-/* A new connection to a target was established, or could not be. Targets are
- * named by their index. */
-void LrTargetReach_OnConnected(LrTargetReach *reach);
+/* A target answered on a new connection, or such a connection failed. Targets
+ * are named by their index. */
+void LrTargetReach_OnNewConnection(LrTargetReach *reach);
 void LrTargetReach_OnConnectFailed(LrTargetReach *reach, uint32_t target,
                                    LrTime now);
-/* Whether a connection to the target failed and none was established since. */
+/* Whether a new connection to the target failed, and no target has answered on
+ * one since. */
 bool LrTargetReach_HasFailed(const LrTargetReach *reach, uint32_t target);
 /* Starts a round: calls of LrTargetReach_OnWaiting for all targets that keep
  * requests waiting, then one of LrTargetReach_Evaluate. */
--- a/liblavenderrail/upstream.c
+++ b/liblavenderrail/upstream.c
@@ -57,6 +57,8 @@
     GByteArray *output;
     size_t n_written;
     bool reused;
+    /* Its request reached its deadline. */
+    bool overdue;
     /* Bytes arrived that belong to none of its requests. */
     bool must_close;
     LrTime idle_since;
@@ -122,11 +124,11 @@
 }
 
 static void
-report_connect(const LrUpstream *upstream, LrStr key, bool established)
+report_first_use(const LrUpstream *upstream, LrStr key, bool answered)
 {
     const LrUpstreamConfig *config = &upstream->config;
-    if (config->connect_ended) {
-        config->connect_ended(config->data, key, established);
+    if (config->first_used) {
+        config->first_used(config->data, key, answered);
     }
 }
 
@@ -236,8 +238,10 @@
 {
     LrUpstreamRequest *request = conn->request;
     conn->request = NULL;
-    if (conn->state == CONN_CONNECTING) {
-        report_connect(conn->upstream, conn->pool->key, false);
+    /* A deadline that has passed tells nothing of the connection. */
+    if (!conn->reused && end != LR_UPSTREAM_TIMEOUT && !conn->overdue) {
+        bool answered = end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED;
+        report_first_use(conn->upstream, conn->pool->key, answered);
     }
     bool reusable = end == LR_UPSTREAM_OK && !conn->must_close &&
                     LrHttpMessage_KeepsAlive(conn->response) &&
@@ -423,7 +427,6 @@
         return;
     }
     LrLoopTimers_Clear(conn->upstream->config.timers, &conn->timer);
-    report_connect(conn->upstream, conn->pool->key, true);
     start_request(conn);
 }
 
@@ -465,13 +468,14 @@
     LrUpstreamRequest *request = data;
     if (!request->conn) {
         if (request->failed) {
-            report_connect(request->upstream, request->spec.key, false);
+            report_first_use(request->upstream, request->spec.key, false);
         }
         request->spec.done(request->spec.data, LR_UPSTREAM_NOT_SENT, NULL);
         free_request(request);
         return;
     }
     Conn *conn = request->conn;
+    conn->overdue = true;
     end_request(conn, LrUpstreamRequest_IsSent(request)
                           ? LR_UPSTREAM_TIMEOUT
                           : LR_UPSTREAM_NOT_SENT);
@@ -483,7 +487,7 @@
     if (upstream->n_open >= upstream->config.max_connections) {
         return NULL;
     }
-    int fd = LrSocket_Connect(address);
+    int fd = LrSocket_Connect(address, upstream->config.source);
     if (fd < 0) {
         return NULL;
     }
--- a/liblavenderrail/upstream.h
+++ b/liblavenderrail/upstream.h
@@ -54,6 +54,8 @@
     LrLoopTimers *timers;
     LrLog *log;
     LrCounters *counters;
+    /* Local IP of the connections; empty when the system chooses it. */
+    LrStr source;
     LrTime connect_timeout;
     /* Limits of a response's head and body, and of all partly read responses
      * together. */
@@ -61,9 +63,10 @@
     size_t max_body_bytes;
     size_t max_buffered_bytes;
     size_t max_connections;
-    /* A new connection to the target of that key was established, or could
-     * not be. Called before done of the request; may be NULL. */
-    void (*connect_ended)(void *data, LrStr key, bool established);
+    /* The first request on a new connection to the target of that key was
+     * answered, or the connection failed before. Called before done of the
+     * request; may be NULL. */
+    void (*first_used)(void *data, LrStr key, bool answered);
     /* The number of idle connections of that key is now n_idle. */
     void (*idle_changed)(void *data, LrStr key, size_t n_idle);
     void *data;
