--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,10 +15,13 @@
 import argparse
 import asyncio
 import collections
+import ctypes
 import hashlib
 import json
 import random
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import time
@@ -50,19 +53,60 @@
 FORWARDING_DAEMONS = 8
 
 
+# While a daemon is cut off from all searchers, its callers are served at least
+# this share as often as another daemon's, but for a few, after this time.
+STRANDED_SHARE, STRANDED_FAILURES, STRANDED_TRIES = 2 / 3, 10, 24
+STRANDED_KNOWN_S = STABILITY_S
+SO_ATTACH_FILTER = 26
+CUT_KINDS = ("hang", "reset", "reset-new")
+
+
+def drop_packets(sock, source):
+    """Makes a socket drop what comes from an IP number; from none for ''."""
+    load_source, equals, ret = 0x20, 0x15, 0x06
+    code = [(load_source, 0, 0, 0xfff00000 + 12)]
+    if source:
+        ip = struct.unpack("!I", socket.inet_aton(source))[0]
+        code += [(equals, 0, 1, ip), (ret, 0, 0, 0)]
+    code += [(ret, 0, 0, 0xffffffff)]
+    program = ctypes.create_string_buffer(
+        b"".join(struct.pack("HBBI", *step) for step in code))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack(
+        "HL", len(code), ctypes.addressof(program)))
+
+
 class Proxy:
-    """Forwards one port to another; its mode applies to open and new links."""
+    """Forwards one port to another; its mode applies to open and new links.
+    Links that come from one IP number can be cut."""
 
     def __init__(self, port, target):
         self.port, self.target, self.mode = port, target, "pass"
         self.links = set()
+        self.cut_source, self.cut_kind = "", ""
+
+    def cut(self, source, kind):
+        self.cut_source, self.cut_kind = source, kind
+        hanging = source if kind == "hang" else ""
+        for sock in self.server.sockets:
+            drop_packets(sock, hanging)
+        for pair in list(self.links):
+            peer = pair[0].get_extra_info("peername")
+            if not peer:
+                continue
+            drop_packets(pair[0].get_extra_info("socket"), hanging)
+            if peer[0] == source and kind == "reset":
+                for writer in pair:
+                    writer.transport.abort()
 
     async def start(self):
         self.server = await asyncio.start_server(
             self.on_link, "127.0.0.1", self.port)
 
     async def on_link(self, reader, writer):
-        if self.mode == "refuse":
+        peer = writer.get_extra_info("peername")
+        is_cut = (peer and peer[0] == self.cut_source and
+                  self.cut_kind.startswith("reset"))
+        if self.mode == "refuse" or is_cut:
             writer.transport.abort()
             return
         try:
@@ -111,6 +155,11 @@
         self.restarting = {i: asyncio.Lock()
                            for i in range(1, options.daemons + 1)}
         self.proxies = {}
+        # Every second seed has proxies in front of the searchers, which look
+        # different when they crash: their ports reset instead of refuse.
+        self.with_cuts = options.seed % 2 == 0
+        self.searcher_proxies = []
+        self.cut_lock = asyncio.Lock()
         self.violations = collections.Counter()
         self.examples = []
         self.sent = {}
@@ -124,6 +173,9 @@
         # and pauses: name, start, end, seconds that it asks for.
         self.said_leaving = {}
         self.pauses = []
+        # Daemons that were cut off from all searchers, each beside another
+        # one, when, and how many tries were served at both.
+        self.cuts_seen = []
         # Request targets that crash searchers, one at a time.
         self.crashing = []
         self.crash_lock = asyncio.Lock()
@@ -148,6 +200,10 @@
     def port(self, i, what):
         return self.base + 20 * i + what
 
+    def source(self, i):
+        """The IP number from which a daemon connects to searchers."""
+        return "127.0.1.%d" % i
+
     def start_daemon(self, i):
         address = "127.0.0.1:%d"
         self.spawn("d%d" % i, [
@@ -158,6 +214,7 @@
             "--operator-listen=" + address % self.port(i, 2),
             "--peer-listen=" + address % self.port(i, 3),
             "--peer-address=" + address % self.port(i, 4),
+            "--target-source=" + self.source(i),
             "--seeds=%s,%s" % (address % self.port(1, 4),
                                address % self.port(2, 4)),
             "--config-url=http://" + address % self.port(i, 5),
@@ -221,9 +278,17 @@
     async def add_searcher(self, service, k, generation):
         port = self.base + 400 + len(self.searchers)
         name = "%s%d-%d" % (service, k, generation)
-        await self.control("server?id=%s&service=%s&zone=%s&address=%s" % (
-            name, service, ZONES[k % 3],
-            urllib.parse.quote("127.0.0.1:%d" % port)))
+        listen = port
+        if self.with_cuts:
+            listen = port + 300
+            proxy = Proxy(port, listen)
+            await proxy.start()
+            self.searcher_proxies.append(proxy)
+        await self.control(
+            "server?id=%s&service=%s&zone=%s&address=%s&listen=%s" % (
+                name, service, ZONES[k % 3],
+                urllib.parse.quote("127.0.0.1:%d" % port),
+                urllib.parse.quote("127.0.0.1:%d" % listen)))
         self.searchers[name] = service
 
     async def put_config(self, services):
@@ -575,6 +640,49 @@
         await asyncio.sleep(self.random.uniform(0.5, 3))
         proxy.mode = "pass"
 
+    async def fault_stranded(self):
+        """A daemon loses its links to all searchers, and only those."""
+        if not self.with_cuts:
+            return
+        i, other = self.random.sample(range(1, self.options.daemons + 1), 2)
+        async with self.cut_lock:
+            start = time.monotonic()
+            self.cut_searchers(i, self.random.choice(CUT_KINDS))
+            await asyncio.sleep(STRANDED_KNOWN_S)
+            served = {i: 0, other: 0}
+            for n in range(STRANDED_TRIES):
+                for daemon in served:
+                    served[daemon] += await self.is_served(daemon, "wou"[n % 3])
+            end = time.monotonic()
+            calm = all(self.was_calm("d%d" % daemon, start - 3, end)
+                       for daemon in served)
+            self.cut_searchers(i, "")
+        self.cuts_seen.append((i, other, calm, served))
+        # Other daemons sent its requests meanwhile.
+        self.disturbances.append(("d%d" % i, start, end + 1))
+
+    def cut_searchers(self, i, kind):
+        for proxy in self.searcher_proxies:
+            proxy.cut(self.source(i), kind)
+
+    async def is_served(self, i, kind):
+        self.next_id += 1
+        request = {"id": "s%d" % self.next_id, "kind": kind,
+                   "path": "/%s/stranded" % kind, "at": time.monotonic(),
+                   "daemon": i}
+        self.sent[request["id"]] = request
+        connection = await self.ask(request, None)
+        if connection:
+            connection[1].close()
+        return request.get("status") == 200
+
+    def check_stranded(self, i, other, calm, served):
+        if (calm and served[i] < STRANDED_SHARE * served[other] and
+                STRANDED_TRIES - served[i] > STRANDED_FAILURES):
+            self.violate("stranded", "d%d, cut off, served %d of %d, d%d %d"
+                         % (i, served[i], STRANDED_TRIES, other,
+                            served[other]))
+
     async def fault_store(self):
         name = self.random.choice(["down", "lose", "compact"])
         self.disturb("store", 4)
@@ -756,10 +864,11 @@
                  self.fault_hangup, self.fault_link, self.fault_store,
                  self.fault_searcher, self.fault_searcher, self.fault_release,
                  self.fault_config, self.fault_limit, self.fault_crash,
-                 self.fault_restore, self.fault_leaving, self.fault_busy]
+                 self.fault_restore, self.fault_leaving, self.fault_busy,
+                 self.fault_stranded]
         tasks = set()
         # What is checked only after some seconds comes first.
-        first = [self.fault_limit, self.fault_crash, self.fault_leaving,
+        first = [self.fault_stranded, self.fault_limit, self.fault_crash, self.fault_leaving,
                  self.fault_restore]
         kind = first.pop(0)
         while not self.stopping:
@@ -846,6 +955,9 @@
             self.disturbances.clear()
             self.said_leaving[ran[0]["server"]] = 0
             runs += [dict(ran[0], at_ms=ran[0]["at_ms"] - 6000)]
+        elif kind == "stranded":
+            self.disturbances.clear()
+            self.cuts_seen.append((1, 2, True, {1: 2, 2: STRANDED_TRIES}))
         elif kind == "pause":
             self.disturbances.clear()
             at = ran[0]["at_ms"]
@@ -882,8 +994,10 @@
         if self.options.plant:
             self.plant(runs, shed)
         self.check_runs(runs, shed)
+        for cut in self.cuts_seen:
+            self.check_stranded(*cut)
         self.kill_all()
-        for proxy in self.proxies.values():
+        for proxy in (*self.proxies.values(), *self.searcher_proxies):
             proxy.reset()
         # Lets the links end before the loop does.
         await asyncio.sleep(0.1)
@@ -901,7 +1015,7 @@
     parser.add_argument("--port", type=int, default=29000)
     parser.add_argument("--plant", choices=[
         "refused", "twice", "unasked", "drain", "budget", "mixed",
-        "coverage", "limit", "crash", "leaving", "pause"],
+        "coverage", "limit", "crash", "leaving", "pause", "stranded"],
         help="forge one violation, to see it noticed")
     options = parser.parse_args()
     # Every third seed has one zone of nine, in which three gather for all.
