--- a/liblavenderrail/admission.c
+++ b/liblavenderrail/admission.c
@@ -108,7 +108,7 @@
         return LR_REASON_NONE;
     }
     count_recent(query->entry->state, now);
-    if (!LrAdmission_HasCoverage(query->entry, now)) {
+    if (engine->targets_lost || !LrAdmission_HasCoverage(query->entry, now)) {
         return LR_REASON_NO_REPLICA;
     }
     if (!rates_allow(engine, query->entry, now)) {
--- a/liblavenderrail/aggregators.c
+++ b/liblavenderrail/aggregators.c
@@ -55,7 +55,7 @@
 } Aggregator;
 
 typedef struct {
-    const LrPeerSpec *daemon;
+    LrPeerSpec *daemon;
     uint64_t rank;
 } Candidate;
 
@@ -209,7 +209,7 @@
 
 void
 LrAggregators_SetDaemons(LrAggregators *aggregators, LrTime now,
-                         const LrPeerSpec *daemons, size_t n_daemons)
+                         LrPeerSpec *daemons, size_t n_daemons)
 {
     g_autofree Candidate *all = g_new0(Candidate, n_daemons + 1);
     for (size_t i = 0; i < n_daemons; i++) {
@@ -230,6 +230,9 @@
         }
         size_t n = count_aggregators(&all[start], end - start);
         aggregators->count += n;
+        for (size_t i = start; i < end; i++) {
+            all[i].daemon->aggregates = i < start + n;
+        }
         if (LrStr_Equal(zone, aggregators->zone)) {
             replace_aggregators(aggregators, &all[start], n, end - start, now);
         }
--- a/liblavenderrail/aggregators.h
+++ b/liblavenderrail/aggregators.h
@@ -15,9 +15,11 @@
 LrAggregators *LrAggregators_New(LrStr self, LrStr zone, LrRandom *random,
                                  LrLog *log);
 void LrAggregators_Free(LrAggregators *aggregators);
-/* Sets the daemons that are alive, this one included; the specs are copied. */
+/* Sets the daemons that are alive, this one included; the specs are copied.
+ * Marks in the array which daemons are aggregators of their zones; in a small
+ * zone all are. */
 void LrAggregators_SetDaemons(LrAggregators *aggregators, LrTime now,
-                              const LrPeerSpec *daemons, size_t n_daemons);
+                              LrPeerSpec *daemons, size_t n_daemons);
 /* Peer address of the aggregator that is to gather the next query, borrowed
  * until the next call of LrAggregators_SetDaemons; empty if this daemon
  * gathers it itself. */
--- a/liblavenderrail/crash.c
+++ b/liblavenderrail/crash.c
@@ -371,6 +371,10 @@
 static void
 settle(LrEngine *engine, LrTarget *target, bool down, LrTime now)
 {
+    /* A daemon without links takes every target as down. */
+    if (down && engine->links_in_doubt) {
+        return;
+    }
     LrBrokenRequest broken[LR_MAX_BROKEN_REQUESTS];
     unsigned n = target->n_broken_requests;
     memcpy(broken, target->broken_requests, n * sizeof(broken[0]));
@@ -417,6 +421,43 @@
     }
 }
 
+static void
+drop_broken(void *data, LrTarget *target)
+{
+    LrEngine *engine = data;
+    for (unsigned i = 0; i < target->n_broken_requests; i++) {
+        LrFingerprint fingerprint = target->broken_requests[i].fingerprint;
+        LrQuarantine_Unsuspect(engine->quarantine, fingerprint);
+        add_report(engine, (LrCrashReport){.fingerprint = fingerprint,
+                                           .event = LR_CRASH_EVENT_BROKEN,
+                                           .withdrawn = true});
+    }
+    target->n_broken_requests = 0;
+    target->broken_at = 0;
+}
+
+void
+LrCrash_DropUnconfirmed(LrEngine *engine)
+{
+    LrTargets_Each(engine->targets, drop_broken, engine);
+}
+
+static void
+check_again(void *data, LrTarget *target)
+{
+    LrEngine *engine = data;
+    if (target->n_broken_requests > 0) {
+        schedule_check(engine, target, engine->now);
+    }
+}
+
+void
+LrCrash_CheckAgain(LrEngine *engine, LrTime now)
+{
+    engine->now = now;
+    LrTargets_Each(engine->targets, check_again, engine);
+}
+
 static bool
 is_same_request(LrFingerprint a, LrFingerprint b)
 {
@@ -501,7 +542,12 @@
     LrCounters_Add(engine->config.counters, LR_COUNT_CRASH_REPORTS, 1);
     switch (report->event) {
     case LR_CRASH_EVENT_BROKEN:
-        LrQuarantine_Suspect(quarantine, report->fingerprint, now);
+        if (report->withdrawn) {
+            LrQuarantine_Unsuspect(quarantine, report->fingerprint);
+        }
+        else {
+            LrQuarantine_Suspect(quarantine, report->fingerprint, now);
+        }
         break;
     case LR_CRASH_EVENT_CRASH:
         count_reported(engine, report, now);
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -482,6 +482,8 @@
     daemon->stated_leaving = LrLeavingTargets_New();
     daemon->aggregators = LrAggregators_New(
         settings->name, settings->zone, LrEngine_Random(daemon->engine), log);
+    daemon->delegates = LrDelegates_New(settings->name, settings->zone,
+                                        LrEngine_Random(daemon->engine));
     daemon->relay = LrRelay_New(daemon);
     daemon->handoff = LrHandoff_New(daemon);
     daemon->forwarded_calls = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -524,6 +526,7 @@
     LrLeavingTargets_Free(daemon->stated_leaving);
     LrHandoff_Free(daemon->handoff);
     LrAggregators_Free(daemon->aggregators);
+    LrDelegates_Free(daemon->delegates);
     LrActiveCatalogue_Free(daemon->active_catalogue);
     g_free(daemon);
 }
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -5,6 +5,7 @@
 
 #include "aggregators.h"
 #include "contract.h"
+#include "delegates.h"
 #include "lavenderrail.h"
 #include "readiness.h"
 
@@ -58,6 +59,7 @@
     LrPeers *peers;
     LrMembers *members;
     LrAggregators *aggregators;
+    LrDelegates *delegates;
     LrLeavingTargets *leaving;
     /* Targets that said themselves that they are leaving. */
     LrLeavingTargets *stated_leaving;
--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -87,7 +87,8 @@
 LrDispatch_HasAttemptsLeft(const LrQueryPart *part)
 {
     int64_t max_attempts = part->query->entry->spec->max_attempts;
-    return max_attempts == 0 || part->n_may_have_run < max_attempts;
+    int64_t n_used = (int64_t)part->n_may_have_run + part->query->n_spent;
+    return max_attempts == 0 || n_used < max_attempts;
 }
 
 bool
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -550,6 +550,39 @@
     return total > 0 ? unserved / total : 0;
 }
 
+void
+LrEngine_SetLinksInDoubt(LrEngine *engine, LrTime now, bool in_doubt)
+{
+    engine->links_in_doubt = in_doubt;
+    if (!in_doubt) {
+        LrCrash_CheckAgain(engine, now);
+    }
+}
+
+void
+LrEngine_OnTargetsLost(LrEngine *engine, LrTime now)
+{
+    engine->now = now;
+    engine->targets_lost = true;
+    LrCrash_DropUnconfirmed(engine);
+    LrQuery *query;
+    LrQuery *next;
+    TAILQ_FOREACH_SAFE(query, &engine->queries, of_engine, next)
+    {
+        if (!query->at_most_once || query->n_may_have_run == 0) {
+            LrQuery_Finish(engine, query, LR_REASON_TARGET_FAILED, now);
+        }
+    }
+    LrEngine_ServeDirty(engine, now);
+}
+
+void
+LrEngine_OnTargetsRegained(LrEngine *engine, LrTime now)
+{
+    engine->targets_lost = false;
+    LrTargets_ResetFailures(engine->targets, now);
+}
+
 void
 LrEngine_SetBudget(LrEngine *engine, const LrRetryBudgetRule *budget)
 {
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -169,6 +169,7 @@
     LrTime now = LrClock_Now();
     LrCrashReport report = {
         .event = message->event,
+        .withdrawn = message->withdrawn,
         .target = message->target,
         .broken_at = now - message->broken_ago_ms * LR_MILLISECOND,
         .reporter = MAX(1, LrStr_Hash(message->reporter, 0)),
@@ -253,6 +254,7 @@
         .fingerprint = LrStr_FromC(text.content),
         .caller = LrStr_FromC(text.caller),
         .event = report->event,
+        .withdrawn = report->withdrawn,
         .target = report->target,
         .reporter = daemon->settings.name,
     };
@@ -612,7 +614,8 @@
                          ((const LrPeerSpec *)b)->name);
 }
 
-/* Selects the aggregators anew from the daemons that are alive. */
+/* Selects the aggregators anew from the daemons that are alive, and those that
+ * can run requests for this one. */
 static void
 set_aggregators(LrDaemon *daemon, LrTime now)
 {
@@ -627,9 +630,9 @@
             g_array_append_val(alive, peer);
         }
     }
-    LrAggregators_SetDaemons(daemon->aggregators, now,
-                             (const LrPeerSpec *)(void *)alive->data,
-                             alive->len);
+    LrPeerSpec *rows = (LrPeerSpec *)(void *)alive->data;
+    LrAggregators_SetDaemons(daemon->aggregators, now, rows, alive->len);
+    LrDelegates_SetDaemons(daemon->delegates, rows, alive->len);
     g_array_unref(alive);
     LrEngine_SetLimitDivisor(daemon->engine, now,
                              LrAggregators_LimitDivisor(daemon->aggregators));
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -1,5 +1,7 @@
-/* Forwarding of queries to the aggregators of the zone, and running of queries
- * that other daemons forwarded to this one.
+/* Forwarding of requests to other daemons, and running of requests that other
+ * daemons forwarded to this one. In large zones gathers go to aggregators; a
+ * daemon that reaches no target forwards requests of every kind to daemons
+ * that do. Who gets a request runs it itself or declines.
  *
  * Forwarding takes three messages: an offer, its acceptance, and the command
  * to start. An aggregator that was paused and reads an old offer late accepts
@@ -25,10 +27,16 @@
  * this time, the daemon that forwarded it counts as lost. */
 #define START_TIMEOUT LR_SECOND
 
-/* Aggregators that a query is offered to, one after the other. */
-enum { MAX_FORWARDS = 2 };
+enum {
+    /* Aggregators that a query is offered to, one after the other. */
+    MAX_FORWARDS = 2,
+    /* Offers of a request while this daemon reaches no target. Most daemons of
+     * a fleet may be in the same state; to decline takes one round trip. */
+    MAX_DELEGATIONS = 8,
+};
 
-/* A query that this daemon forwarded to an aggregator. */
+/* A request that this daemon forwarded to an aggregator, or to a daemon that
+ * runs it because this one reaches no target. */
 typedef struct {
     int64_t id;
     LrForward *forward;
@@ -162,6 +170,13 @@
     LrRoutedRequest_Unref(routed);
 }
 
+static void
+on_failed(LrDaemon *daemon, LrStr address, LrTime now)
+{
+    LrAggregators_OnFailed(daemon->aggregators, address, now);
+    LrDelegates_OnFailed(daemon->delegates, address, now);
+}
+
 /* Marks the aggregator as failed. A started request ends with an error; any
  * other is forwarded again or run here. */
 static void
@@ -169,8 +184,7 @@
 {
     LrForward *forward = forwarded->forward;
     log_lost(forwarded, why);
-    LrAggregators_OnFailed(forward->daemon->aggregators,
-                           LrStr_FromC(forwarded->address), LrClock_Now());
+    on_failed(forward->daemon, LrStr_FromC(forwarded->address), LrClock_Now());
     if (forwarded->started) {
         fail_request(forward, forwarded, LR_STATUS_BAD_GATEWAY);
     }
@@ -231,6 +245,7 @@
         .head = {.ptr = routed->head->str, .len = routed->head->len},
         .body = LrStr_FromBytes(routed->body),
         .bodyless = routed->bodyless,
+        .n_spent = routed->n_spent,
         .spent_us = spent / LR_MICROSECOND,
         .timeout_us =
             left > 0 ? MAX(1, (left - TRANSIT_TIME) / LR_MICROSECOND) : 0,
@@ -239,18 +254,47 @@
                         &LrForwardMsg_Descriptor, &message);
 }
 
-bool
-LrForward_SendRequest(LrForward *forward, LrRoutedRequest *routed)
+/* Whether another daemon should run the request because this one reaches no
+ * target, or did not until a moment ago. */
+static bool
+must_delegate(const LrForward *forward, LrTime now)
+{
+    double share = LrTargetReach_DelegatedShare(forward->gateway->reach, now);
+    return share > 0 &&
+           LrRandom_Uniform(LrEngine_Random(forward->daemon->engine)) < share;
+}
+
+/* Address of the aggregator that runs the request; empty when this daemon has
+ * to. */
+static LrStr
+pick_aggregator(const LrForward *forward, const LrRoutedRequest *routed,
+                LrTime now)
 {
-    LrTime now = LrClock_Now();
     if (!routed->route->scatter || !routed->route->idempotent ||
-        routed->n_forwards == MAX_FORWARDS) {
-        return false;
+        routed->n_forwards >= MAX_FORWARDS) {
+        return LrStr_FromC("");
     }
-    LrStr address = LrAggregators_Pick(forward->daemon->aggregators, now);
-    if (address.len == 0) {
-        return false;
+    return LrAggregators_Pick(forward->daemon->aggregators, now);
+}
+
+static LrStr
+pick_delegate(const LrForward *forward, const LrRoutedRequest *routed,
+              LrTime now)
+{
+    if (routed->n_forwards >= MAX_DELEGATIONS) {
+        return LrStr_FromC("");
     }
+    return LrDelegates_Pick(forward->daemon->delegates, routed->route->scatter,
+                            now);
+}
+
+/* Offers the request to the daemon at that address, and logs the event; false
+ * if it can't be sent. */
+static bool
+offer_request(LrForward *forward, LrRoutedRequest *routed, LrStr address,
+              const char *event)
+{
+    LrTime now = LrClock_Now();
     ForwardedRequest *forwarded = g_new0(ForwardedRequest, 1);
     forwarded->id = ++forward->next_id;
     forwarded->forward = forward;
@@ -264,19 +308,44 @@
     routed->n_forwards++;
     g_hash_table_insert(forward->forwarded, &forwarded->id, forwarded);
     if (!send_offer(forward, forwarded)) {
-        LrAggregators_OnFailed(forward->daemon->aggregators, address, now);
+        on_failed(forward->daemon, address, now);
         LrRoutedRequest_Unref(end_forward(forwarded));
         return false;
     }
     LrCounters_Add(forward->daemon->counters, LR_COUNT_FORWARDED, 1);
-    LR_LOG(forward->daemon->log, LOG_INFO, "request_forwarded",
-           LrLog_CStr("id", routed->id),
+    LR_LOG(forward->daemon->log, LOG_INFO, event, LrLog_CStr("id", routed->id),
            LrLog_CStr("aggregator", forwarded->address));
     LrLoopTimers_Set(forward->gateway->timers, &forwarded->timer,
                      now + ACCEPT_TIMEOUT);
     return true;
 }
 
+/* Offers the request to a daemon that reaches targets; false if there is
+ * none. */
+static bool
+delegate(LrForward *forward, LrRoutedRequest *routed)
+{
+    LrStr address = pick_delegate(forward, routed, LrClock_Now());
+    if (address.len == 0 ||
+        !offer_request(forward, routed, address, "request_delegated")) {
+        return false;
+    }
+    LrCounters_Add(forward->daemon->counters, LR_COUNT_DELEGATED, 1);
+    return true;
+}
+
+bool
+LrForward_SendRequest(LrForward *forward, LrRoutedRequest *routed)
+{
+    LrTime now = LrClock_Now();
+    if (must_delegate(forward, now)) {
+        return delegate(forward, routed);
+    }
+    LrStr address = pick_aggregator(forward, routed, now);
+    return address.len > 0 &&
+           offer_request(forward, routed, address, "request_forwarded");
+}
+
 bool
 LrForward_Cancel(LrForward *forward, LrRoutedRequest *routed)
 {
@@ -309,14 +378,25 @@
 }
 
 static void
-on_declined(LrForward *forward, ForwardedRequest *forwarded, int64_t revision)
+on_declined(LrForward *forward, ForwardedRequest *forwarded,
+            const LrForwardAnswerMsg *message)
 {
+    LrDaemon *daemon = forward->daemon;
+    LrTime now = LrClock_Now();
     LrStr address = LrStr_FromC(forwarded->address);
-    LrCounters_Add(forward->daemon->counters, LR_COUNT_FORWARD_DECLINED, 1);
-    LR_LOG(forward->daemon->log, LOG_INFO, "forward_declined",
+    LrCounters_Add(daemon->counters, LR_COUNT_FORWARD_DECLINED, 1);
+    LR_LOG(daemon->log, LOG_INFO, "forward_declined",
            LrLog_CStr("id", forwarded->routed->id),
-           LrLog_Str("aggregator", address));
-    LrFleet_PullIfNewer(forward->daemon, address, revision, LrClock_Now());
+           LrLog_Str("aggregator", address),
+           LrLog_Int("cut_off", message->cut_off),
+           LrLog_Int("begun", forwarded->started));
+    if (message->cut_off) {
+        LrAggregators_OnFailed(daemon->aggregators, address, now);
+        LrDelegates_OnCutOff(daemon->delegates, address, now);
+    }
+    LrRoutedRequest *routed = forwarded->routed;
+    routed->n_spent = MAX(routed->n_spent, (unsigned)message->n_spent);
+    LrFleet_PullIfNewer(daemon, address, message->revision, now);
     forward_elsewhere(forward, forwarded);
 }
 
@@ -352,7 +432,7 @@
         deliver_answer(forwarded, message);
         break;
     default:
-        on_declined(forward, forwarded, message->revision);
+        on_declined(forward, forwarded, message);
         break;
     }
 }
@@ -398,6 +478,10 @@
         *why = "stopping";
         return NULL;
     }
+    if (LrGateway_IsCutOff(forward->gateway)) {
+        *why = "cut off";
+        return NULL;
+    }
     if (!route) {
         *why = "no such route";
         return NULL;
@@ -420,6 +504,7 @@
         .request_id = message->request_id,
         .step = LR_FORWARD_DECLINED,
         .revision = LrActiveCatalogue_Revision(daemon->active_catalogue),
+        .cut_off = LrGateway_IsCutOff(forward->gateway),
     };
     LR_LOG(daemon->log, LOG_INFO, "forward_refused",
            LrLog_Str("id", message->request_id), LrLog_CStr("why", why));
@@ -428,6 +513,39 @@
                         LrClock_Now());
 }
 
+/* Tells the daemon that forwarded a request to run it elsewhere: nothing of it
+ * runs here any more. */
+static void
+give_back(LrForward *forward, LrRoutedRequest *routed)
+{
+    LrStr address = LrStr_FromC(routed->reply_to);
+    LrForwardAnswerMsg answer = {
+        .id = routed->remote_id,
+        .request_id = LrStr_FromC(routed->id),
+        .step = LR_FORWARD_DECLINED,
+        .revision =
+            LrActiveCatalogue_Revision(forward->daemon->active_catalogue),
+        .cut_off = LrGateway_IsCutOff(forward->gateway),
+        .n_spent = routed->n_spent,
+    };
+    LR_LOG(forward->daemon->log, LOG_INFO, "forward_given_back",
+           LrLog_CStr("id", routed->id), LrLog_Str("to", address));
+    send_answer(forward, address, &answer);
+    g_autofree char *key = accepted_key(address, routed->remote_id);
+    g_hash_table_remove(forward->accepted, key);
+    LrRoutedRequest_Unref(routed);
+}
+
+bool
+LrForward_HandOver(LrForward *forward, LrRoutedRequest *routed)
+{
+    if (routed->reply_to) {
+        give_back(forward, routed);
+        return true;
+    }
+    return delegate(forward, routed);
+}
+
 /* Drops a request of another daemon that was accepted and not started. */
 static void
 drop_unstarted(LrForward *forward, LrRoutedRequest *routed)
@@ -488,6 +606,17 @@
     }
 }
 
+static void
+start_accepted(LrForward *forward, LrRoutedRequest *routed)
+{
+    if (LrGateway_IsCutOff(forward->gateway)) {
+        give_back(forward, routed);
+        return;
+    }
+    LrCounters_Add(forward->daemon->counters, LR_COUNT_FORWARD_SERVED, 1);
+    LrGateway_Submit(forward->gateway, routed);
+}
+
 void
 LrForward_OnCommand(LrForward *forward, const LrForwardCommandMsg *message)
 {
@@ -499,8 +628,7 @@
     bool started = routed->start_timer.heap_index == 0;
     if (message->order == LR_FORWARD_COMMAND_START && !started) {
         LrLoopTimers_Clear(forward->gateway->timers, &routed->start_timer);
-        LrCounters_Add(forward->daemon->counters, LR_COUNT_FORWARD_SERVED, 1);
-        LrGateway_Submit(forward->gateway, routed);
+        start_accepted(forward, routed);
     }
     else if (message->order == LR_FORWARD_COMMAND_CANCEL && started) {
         cancel_started(forward, routed, key);
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -142,6 +142,7 @@
     routed->arrived_at = now - message->spent_us * LR_MICROSECOND;
     routed->deadline =
         deadline_from(now, message->timeout_us * LR_MICROSECOND);
+    routed->n_spent = (unsigned)message->n_spent;
     routed->reply_to = LrStr_Dup(message->reply_to);
     routed->remote_id = message->id;
     routed->bodyless = message->bodyless;
@@ -172,6 +173,7 @@
         .fingerprint = routed->fingerprint,
         .elapsed = now - routed->arrived_at,
         .timeout = routed->deadline > 0 ? MAX(1, routed->deadline - now) : 0,
+        .n_spent = routed->n_spent,
         .data = &routed->pending,
     };
     routed->pending.query = LrEngine_Submit(daemon->engine, now, &request);
@@ -398,8 +400,9 @@
 LrGateway_Dump(const LrGateway *gateway)
 {
     return json_pack(
-        "{s:s, s:I, s:I, s:I}", "target_reach",
-        LrReachState_Names[LrTargetReach_State(gateway->reach)],
+        "{s:s, s:I, s:I, s:I, s:I}", "target_reach",
+        LrReachState_Names[LrTargetReach_State(gateway->reach)], "delegates",
+        (json_int_t)LrDelegates_Count(gateway->daemon->delegates),
         "caller_connections",
         (json_int_t)LrCallerServer_CountConnections(gateway->caller_server),
         "target_connections",
--- a/liblavenderrail/gateway_answer.c
+++ b/liblavenderrail/gateway_answer.c
@@ -4,6 +4,10 @@
 
 #include "merge.h"
 
+/* With less time left a request is not handed to another daemon: a round trip
+ * to it and a fast target take about as long. */
+#define MIN_TIME_TO_HAND_OVER (10 * LR_MILLISECOND)
+
 /* One complete answer in this many is logged. */
 enum { ANSWERS_PER_LOG_LINE = 64 };
 
@@ -160,6 +164,38 @@
     answer_caller(routed, head, NULL);
 }
 
+static bool
+has_time_left(const LrRoutedRequest *routed)
+{
+    LrTime due =
+        routed->arrived_at + routed->route->timeout_ms * LR_MILLISECOND;
+    if (routed->deadline > 0) {
+        due = MIN(due, routed->deadline);
+    }
+    return due - LrClock_Now() > MIN_TIME_TO_HAND_OVER;
+}
+
+/* Whether the request failed while this daemon may reach no target, and may be
+ * run by another one. */
+static bool
+may_hand_over(const LrRoutedRequest *routed, const LrAnswer *answer)
+{
+    LrReachState state = LrTargetReach_State(routed->gateway->reach);
+    if (state == LR_REACH_NORMAL || answer->outcome == LR_OUTCOME_COMPLETE ||
+        answer->outcome == LR_OUTCOME_PARTIAL) {
+        return false;
+    }
+    bool by_target = answer->n_parts == 1 && answer->parts[0].head;
+    bool refused = answer->reason == LR_REASON_QUARANTINED ||
+                   answer->reason == LR_REASON_REJECTED ||
+                   answer->reason == LR_REASON_UNKNOWN_ENTRY;
+    /* In doubt, the targets may have failed for the request's sake. */
+    bool may_repeat = routed->route->idempotent &&
+                      (answer->n_spent == 0 || state == LR_REACH_CUT_OFF);
+    bool may_run = answer->outcome == LR_OUTCOME_NOT_RUN || may_repeat;
+    return may_run && !by_target && !refused && has_time_left(routed);
+}
+
 void
 LrGateway_Answered(LrRoutedRequest *routed, const LrAnswer *answer)
 {
@@ -167,6 +203,12 @@
         LrRoutedRequest_Unref(routed);
         return;
     }
+    if (may_hand_over(routed, answer)) {
+        routed->n_spent += answer->n_spent;
+        if (LrForward_HandOver(routed->gateway->forward, routed)) {
+            return;
+        }
+    }
     GString *head = g_string_new(NULL);
     unsigned status;
     GBytes *body = compose_answer(routed, answer, head, &status);
--- a/liblavenderrail/gateway_check.c
+++ b/liblavenderrail/gateway_check.c
@@ -85,9 +85,10 @@
     LrGateway *gateway = check->gateway;
     LrTime now = LrClock_Now();
     LrEngine_Advance(gateway->daemon->engine, now);
-    LrTargetReach_OnCheck(
-        gateway->reach, end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED,
-        now);
+    /* A target that takes the request and is busy is reached. */
+    bool reached = end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED ||
+                   end == LR_UPSTREAM_TIMEOUT;
+    LrTargetReach_OnCheck(gateway->reach, reached, now);
     g_hash_table_remove(gateway->checks, check);
     LrGateway_UpdateReach(gateway, now);
     LrDaemon_RunActions(gateway->daemon);
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -27,6 +27,10 @@
     /* Running checks of targets. */
     GHashTable *checks;
     LrTargetReach *reach;
+    /* State of the links that the engine was told, and whether it was told
+     * that the targets are lost. */
+    LrReachState reach_state;
+    bool loss_told;
     LrForward *forward;
     /* Complete answers so far; a sample of them is logged. */
     uint64_t n_complete;
@@ -51,10 +55,13 @@
     LrTime arrived_at;
     /* When the answer has to be sent; 0 when the caller gave no deadline. */
     LrTime deadline;
-    /* Id of its forwarding to an aggregator; 0 while it isn't forwarded. */
+    /* Id of its forwarding to another daemon; 0 while it isn't forwarded. */
     int64_t forward_id;
-    /* Number of aggregators that it was offered to so far. */
+    /* Number of daemons that it was offered to so far. */
     unsigned n_forwards;
+    /* Attempts of each part that may have run, at the order of this daemon or
+     * of those that gave the request back. */
+    unsigned n_spent;
     /* Address of the daemon that forwarded it, NULL for a caller's request,
      * and its id at that daemon. */
     char *reply_to;
--- a/liblavenderrail/gateway_reach.c
+++ b/liblavenderrail/gateway_reach.c
@@ -2,14 +2,26 @@
  * targets. */
 #include "gateway_private.h"
 
-/* Targets to check, best first. */
+enum {
+    /* Of the checked targets in doubt, those that replied last: they were up a
+     * moment ago. The others are drawn, since what those share, such as a
+     * request that crashes them, may have brought them down. */
+    RECENT_CHECKS = LR_REACH_CHECKS / 2,
+};
+
+/* Targets to check. */
 typedef struct {
     LrGateway *gateway;
     LrTime now;
+    /* Those with the highest score are chosen, up to this number. */
+    double (*score)(const LrGateway *gateway, const LrTarget *target);
+    size_t limit;
     struct {
         LrTarget *target;
         double score;
     } rows[LR_REACH_CHECKS];
+    /* Rows before the first one were chosen by another score. */
+    size_t first;
     size_t n;
 } CheckChoice;
 
@@ -25,40 +37,53 @@
     return LrTargetReach_State(gateway->reach) == LR_REACH_CUT_OFF;
 }
 
-/* In doubt, a target that replied a moment ago tells most: it was up. Later
- * any target may be the first that is reached again. */
 static double
-check_score(const CheckChoice *choice, const LrTarget *target)
+score_recency(const LrGateway *gateway, const LrTarget *target)
 {
-    const LrGateway *gateway = choice->gateway;
-    if (LrGateway_IsCutOff(gateway)) {
-        return LrRandom_Uniform(LrEngine_Random(gateway->daemon->engine));
-    }
-    if (LrTargetReach_HasFailed(gateway->reach, target->index)) {
-        return -1;
+    return LrTargetReach_HasFailed(gateway->reach, target->index)
+               ? -1
+               : (double)target->last_reply_at;
+}
+
+static double
+score_random(const LrGateway *gateway, const LrTarget *target)
+{
+    (void)target;
+    return LrRandom_Uniform(LrEngine_Random(gateway->daemon->engine));
+}
+
+static bool
+is_checkable(const CheckChoice *choice, const LrTarget *target)
+{
+    for (size_t i = 0; i < choice->first; i++) {
+        if (choice->rows[i].target == target) {
+            return false;
+        }
     }
-    return (double)target->last_reply_at;
+    return !target->relay && target->groups->len > 0 &&
+           !LrTargets_IsLeaving(target, choice->now) &&
+           !LrTargets_IsPaused(target, choice->now) &&
+           !LrTargets_IsMisdirected(target, choice->now);
 }
 
+/* Inserts the target by descending score; the last one of a full list is
+ * dropped. */
 static void
 consider_target(void *data, LrTarget *target)
 {
     CheckChoice *choice = data;
-    if (target->relay || target->groups->len == 0 ||
-        LrTargets_IsLeaving(target, choice->now) ||
-        LrTargets_IsPaused(target, choice->now) ||
-        LrTargets_IsMisdirected(target, choice->now)) {
+    if (!is_checkable(choice, target)) {
         return;
     }
-    double score = check_score(choice, target);
+    double score = choice->score(choice->gateway, target);
     size_t at = choice->n;
-    while (at > 0 && choice->rows[at - 1].score < score) {
+    while (at > choice->first && choice->rows[at - 1].score < score) {
         at--;
     }
-    if (at == LR_REACH_CHECKS) {
+    if (at == choice->limit) {
         return;
     }
-    choice->n = MIN(choice->n + 1, LR_REACH_CHECKS);
+    choice->n = MIN(choice->n + 1, choice->limit);
     for (size_t i = choice->n - 1; i > at; i--) {
         choice->rows[i] = choice->rows[i - 1];
     }
@@ -66,23 +91,58 @@
     choice->rows[at].score = score;
 }
 
+static void
+choose(CheckChoice *choice, size_t count,
+       double (*score)(const LrGateway *, const LrTarget *))
+{
+    choice->first = choice->n;
+    choice->limit = choice->n + count;
+    choice->score = score;
+    LrTargets_Each(LrEngine_Targets(choice->gateway->daemon->engine),
+                   consider_target, choice);
+}
+
 static void
 send_checks(LrGateway *gateway, LrTime now)
 {
     CheckChoice choice = {.gateway = gateway, .now = now};
-    LrTargets_Each(LrEngine_Targets(gateway->daemon->engine), consider_target,
-                   &choice);
+    if (!LrGateway_IsCutOff(gateway)) {
+        choose(&choice, RECENT_CHECKS, score_recency);
+    }
+    choose(&choice, LR_REACH_CHECKS - RECENT_CHECKS, score_random);
     for (size_t i = 0; i < choice.n; i++) {
         LrGateway_CheckReach(gateway, choice.rows[i].target);
     }
 }
 
+static void
+on_state_changed(LrGateway *gateway, LrReachState state, LrTime now)
+{
+    LrEngine *engine = gateway->daemon->engine;
+    if (gateway->reach_state == LR_REACH_CUT_OFF) {
+        gateway->loss_told = false;
+        LrEngine_OnTargetsRegained(engine, now);
+    }
+    gateway->reach_state = state;
+    LrEngine_SetLinksInDoubt(engine, now, state != LR_REACH_NORMAL);
+}
+
 void
 LrGateway_UpdateReach(LrGateway *gateway, LrTime now)
 {
     if (LrTargetReach_TakeChecks(gateway->reach, now)) {
         send_checks(gateway, now);
     }
+    LrReachState state = LrTargetReach_State(gateway->reach);
+    if (state != gateway->reach_state) {
+        on_state_changed(gateway, state, now);
+    }
+    /* Queries that still get replies on older connections go on. */
+    if (state == LR_REACH_CUT_OFF && !gateway->loss_told &&
+        LrTargetReach_IsSilent(gateway->reach, now)) {
+        gateway->loss_told = true;
+        LrEngine_OnTargetsLost(gateway->daemon->engine, now);
+    }
 }
 
 void
--- a/liblavenderrail/gather.c
+++ b/liblavenderrail/gather.c
@@ -175,6 +175,7 @@
     answer->view = query->view ? LrView_Ref(query->view) : NULL;
     for (size_t i = 0; i < query->n_parts; i++) {
         fill_answer_part(&answer->parts[i], &query->parts[i], reason);
+        answer->n_spent = MAX(answer->n_spent, query->parts[i].n_may_have_run);
     }
     answer->reason = main_reason(answer, reason);
     return answer;
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1814,6 +1814,13 @@
      .required = true,
      .min = 0,
      .max = 2147483647000},
+    {.name = "n_spent",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardMsg, n_spent),
+     .hint = "attempts of each part that may have run at targets already",
+     .min = 0,
+     .max = 1000,
+     .fallback = 0},
 };
 
 const LrRecordDescriptor LrForwardMsg_Descriptor = {
@@ -1865,6 +1872,18 @@
      .min = 0,
      .max = 9007199254740991,
      .fallback = 0},
+    {.name = "cut_off",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrForwardAnswerMsg, cut_off),
+     .hint = "whether the sender reaches no target",
+     .fallback = 0},
+    {.name = "n_spent",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrForwardAnswerMsg, n_spent),
+     .hint = "of a request that is given back: attempts of each part that may have run at targets, those that its sender knew of included",
+     .min = 0,
+     .max = 1000,
+     .fallback = 0},
 };
 
 const LrRecordDescriptor LrForwardAnswerMsg_Descriptor = {
@@ -1938,6 +1957,11 @@
      .offset = offsetof(LrCrashReportMsg, reporter),
      .hint = "name of the daemon that tells it",
      .fallback_str = ""},
+    {.name = "withdrawn",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrCrashReportMsg, withdrawn),
+     .hint = "with event broken: an earlier report is withdrawn, since the sender had lost its links to all targets",
+     .fallback = 0},
 };
 
 const LrRecordDescriptor LrCrashReportMsg_Descriptor = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -743,7 +743,7 @@
 extern const LrRecordDescriptor LrLoanMsg_Descriptor;
 #define LR_MSG_LOAN 14
 
-/* A query that is forwarded to an aggregator. */
+/* A request that is forwarded to another daemon. */
 typedef struct {
     /* number of the query at the sender */
     int64_t id;
@@ -775,6 +775,8 @@
     int64_t spent_us;
     /* time left for the answer, microseconds; 0 when the caller set no deadline */
     int64_t timeout_us;
+    /* attempts of each part that may have run at targets already */
+    int64_t n_spent;
 } LrForwardMsg;
 extern const LrRecordDescriptor LrForwardMsg_Descriptor;
 #define LR_MSG_FORWARD 15
@@ -795,6 +797,10 @@
     bool isolated;
     /* catalogue revision of an aggregator that declines */
     int64_t revision;
+    /* whether the sender reaches no target */
+    bool cut_off;
+    /* of a request that is given back: attempts of each part that may have run at targets, those that its sender knew of included */
+    int64_t n_spent;
 } LrForwardAnswerMsg;
 extern const LrRecordDescriptor LrForwardAnswerMsg_Descriptor;
 #define LR_MSG_FORWARD_ANSWER 16
@@ -825,6 +831,8 @@
     int64_t broken_ago_ms;
     /* name of the daemon that tells it */
     LrStr reporter;
+    /* with event broken: an earlier report is withdrawn, since the sender had lost its links to all targets */
+    bool withdrawn;
 } LrCrashReportMsg;
 extern const LrRecordDescriptor LrCrashReportMsg_Descriptor;
 #define LR_MSG_CRASH_REPORT 18
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -768,6 +768,8 @@
 /* Discards load reports and ejections after a gap in the clock, since they are
  * outdated. */
 void LrTargets_OnLateWakeup(LrTargets *targets, LrTime now);
+/* Forgets failures and ejections that were no fault of the targets. */
+void LrTargets_ResetFailures(LrTargets *targets, LrTime now);
 
 /* loans.c: loans between daemons of their quotas of a fleet-wide limit. */
 #define LR_LOAN_LEASE (2 * LR_SECOND)
@@ -801,6 +803,8 @@
     LrStr address;
     /* Share of a CPU. */
     double speed;
+    /* Gathers for the other daemons of its zone. */
+    bool aggregates;
 } LrPeerSpec;
 
 /* Number of daemons that may connect to a target that accepts this many
@@ -1244,6 +1248,8 @@
     LrCrashEvent event;
     /* With events crash and down: key of the target that is down. */
     LrStr target;
+    /* With event broken: an earlier report is withdrawn. */
+    bool withdrawn;
     /* With event crash: when the connection to it broke. */
     LrTime broken_at;
     /* Hash of the name of the daemon that tells it; 0 for this one. */
@@ -1266,6 +1272,9 @@
     int64_t version;
     /* Time already used of the entry's deadlines. */
     LrTime elapsed;
+    /* Attempts of each part that may have run already, sent by another daemon;
+     * they count for the entry's max_attempts. */
+    unsigned n_spent;
     void *data;
 } LrRequest;
 
@@ -1291,6 +1300,8 @@
     LrTrafficClass klass;
     void *data;
     LrView *view;
+    /* Most attempts of one part that may have run. */
+    unsigned n_spent;
 } LrAnswer;
 
 typedef struct {
@@ -1368,6 +1379,15 @@
 void LrEngine_SetLimitDivisor(LrEngine *engine, LrTime now, double divisor);
 LrView *LrEngine_View(LrEngine *engine);
 LrTargets *LrEngine_Targets(LrEngine *engine);
+/* Whether this daemon may have lost its links to all targets. Meanwhile no
+ * target is taken as crashed. */
+void LrEngine_SetLinksInDoubt(LrEngine *engine, LrTime now, bool in_doubt);
+/* This daemon has lost its links to all targets, and nothing is heard on older
+ * connections: ends the queries that may run again or have not run, and drops
+ * what was concluded from broken connections. */
+void LrEngine_OnTargetsLost(LrEngine *engine, LrTime now);
+/* The links are back: failures of targets during the loss are forgotten. */
+void LrEngine_OnTargetsRegained(LrEngine *engine, LrTime now);
 LrQuarantine *LrEngine_Quarantine(LrEngine *engine);
 LrRandom *LrEngine_Random(LrEngine *engine);
 /* Submits a request, which is answered by an action. Returns an id for
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -73,6 +73,8 @@
     LrTrafficClass klass;
     bool single_shard;
     bool at_most_once;
+    /* Attempts of each part that another daemon has sent. */
+    unsigned n_spent;
     uint64_t route_hash;
     LrStr key;
     GBytes *body;
@@ -147,6 +149,10 @@
     LrTime now;
     size_t n_queries;
     bool stopping;
+    /* This daemon may have lost its links to all targets. */
+    bool links_in_doubt;
+    /* It has lost them, and nothing is heard on older connections. */
+    bool targets_lost;
     LrQuota quota;
     /* Daemons of the fleet, from which the view chooses those that relay. */
     LrStr self;
@@ -277,6 +283,12 @@
 void LrCrash_OnReply(LrEngine *engine, LrTarget *target, LrTime sent_at,
                      LrReplyStatus status, LrTime now);
 /* A target answered the query. */
+/* Drops what broken connections seemed to tell of targets and requests, here
+ * and at the peers that were told. */
+void LrCrash_DropUnconfirmed(LrEngine *engine);
+/* Checks the targets again whose connections broke while the links were in
+ * doubt. */
+void LrCrash_CheckAgain(LrEngine *engine, LrTime now);
 void LrCrash_OnAnswered(LrEngine *engine, LrQuery *query, LrTime now);
 /* Ends the parts of a query that is quarantined. */
 void LrCrash_QuarantineQuery(LrEngine *engine, LrQuery *query);
--- a/liblavenderrail/query.c
+++ b/liblavenderrail/query.c
@@ -175,6 +175,7 @@
     query->id = ++engine->next_id;
     query->engine = engine;
     query->single_shard = request->single_shard;
+    query->n_spent = request->n_spent;
     query->version = request->version;
     query->shard =
         (LrStr){.ptr = LrStr_Dup(request->shard), .len = request->shard.len};
@@ -269,7 +270,7 @@
     if (part->n_in_flight > 0) {
         return;
     }
-    if (LrTargets_AllEjected(part->group, now) ||
+    if (engine->targets_lost || LrTargets_AllEjected(part->group, now) ||
         !LrDispatch_HasAttemptsLeft(part) ||
         (status != LR_REPLY_CONNECT_FAILED &&
          !LrDispatch_SpendBudget(engine, part, &engine->retry_bucket, now))) {
--- a/liblavenderrail/target_reach.c
+++ b/liblavenderrail/target_reach.c
@@ -1,8 +1,8 @@
 /* A daemon that loses its links to all targets sees the same as one whose
  * targets all fail: connections that hang, are reset or refused. While several
- * targets fail, it checks those that answered last, each on a new connection.
- * If none of them answers, the daemon is cut off, whatever still arrives on
- * older connections; answered checks end that. */
+ * targets fail, it checks others, each on a new connection.
+ * If none of them can be reached, the daemon is cut off, whatever still
+ * arrives on older connections; checks that pass end that. */
 #include "target_reach.h"
 
 /* No reply for this long, while requests wait for as long, puts the links in
@@ -11,8 +11,8 @@
 #define SILENCE_TIME (150 * LR_MILLISECOND)
 /* Pause between two sets of checks. */
 #define CHECK_INTERVAL (250 * LR_MILLISECOND)
-/* After an answered check, failures of single targets raise no doubt for this
- * long. */
+/* After a check that passed, failures of single targets raise no doubt for
+ * this long. */
 #define TRUST_TIME (500 * LR_MILLISECOND)
 /* A daemon that was cut off takes its requests back over this time, so that
  * many daemons that return together don't open all their connections at
@@ -27,8 +27,8 @@
      * raise doubt; all targets where there are fewer. */
     MIN_FAILED = 2,
     MIN_OVERDUE = 3,
-    /* Answered checks that end the cut. */
-    MIN_ANSWERED = 2,
+    /* Passed checks that end the cut. */
+    MIN_PASSED = 2,
     MAX_FAILED = 16,
 };
 
@@ -53,8 +53,8 @@
     LrTime checked_at;
     LrTime trusted_until;
     /* Checks since the doubt or the cut began. */
-    unsigned n_unanswered;
-    unsigned n_answered;
+    unsigned n_checks_failed;
+    unsigned n_checks_passed;
     LrTime cut_at;
     LrTime regained_at;
 };
@@ -84,8 +84,8 @@
 set_state(LrTargetReach *reach, LrReachState state, LrTime now)
 {
     reach->state = state;
-    reach->n_answered = 0;
-    reach->n_unanswered = 0;
+    reach->n_checks_passed = 0;
+    reach->n_checks_failed = 0;
     LR_LOG(
         reach->log, LOG_INFO, "target_reach",
         LrLog_CStr("state", LrReachState_Names[state]),
@@ -207,33 +207,33 @@
 }
 
 static void
-on_answered(LrTargetReach *reach, LrTime now)
+on_reached(LrTargetReach *reach, LrTime now)
 {
     reach->last_reply_at = now;
     reach->n_failed = 0;
-    reach->n_unanswered = 0;
-    reach->n_answered++;
+    reach->n_checks_failed = 0;
+    reach->n_checks_passed++;
     if (reach->state == LR_REACH_IN_DOUBT) {
         reach->trusted_until = now + TRUST_TIME;
         set_state(reach, LR_REACH_NORMAL, now);
     }
     else if (reach->state == LR_REACH_CUT_OFF &&
-             reach->n_answered >= MIN(MIN_ANSWERED, reach->n_targets)) {
+             reach->n_checks_passed >= MIN(MIN_PASSED, reach->n_targets)) {
         reach->trusted_until = now + TRUST_TIME;
         on_regained(reach, now);
     }
 }
 
 void
-LrTargetReach_OnCheck(LrTargetReach *reach, bool answered, LrTime now)
+LrTargetReach_OnCheck(LrTargetReach *reach, bool reached, LrTime now)
 {
-    if (answered) {
-        on_answered(reach, now);
+    if (reached) {
+        on_reached(reach, now);
         return;
     }
-    reach->n_unanswered++;
+    reach->n_checks_failed++;
     if (reach->state == LR_REACH_IN_DOUBT &&
-        reach->n_unanswered >= MIN(LR_REACH_CHECKS, reach->n_targets)) {
+        reach->n_checks_failed >= MIN(LR_REACH_CHECKS, reach->n_targets)) {
         on_cut_off(reach, now);
     }
 }
--- a/liblavenderrail/target_reach.h
+++ b/liblavenderrail/target_reach.h
@@ -15,14 +15,15 @@
     LR_REACH_NORMAL,
     /* Several targets fail at once: others are checked. */
     LR_REACH_IN_DOUBT,
-    /* No target answers on a new connection. */
+    /* No target can be reached on a new connection. */
     LR_REACH_CUT_OFF,
 } LrReachState;
 
 extern const char *const LrReachState_Names[];
 
-/* Targets that are checked at once. */
-enum { LR_REACH_CHECKS = 3 };
+/* Failed checks, or those of all targets where there are fewer, that make a
+ * doubt a cut. */
+enum { LR_REACH_CHECKS = 6 };
 
 LrTargetReach *LrTargetReach_New(LrLog *log, LrCounters *counters);
 void LrTargetReach_Free(LrTargetReach *reach);
@@ -46,11 +47,10 @@
 /* Ends a round; n_targets is the number of known targets. */
 void LrTargetReach_Evaluate(LrTargetReach *reach, size_t n_targets,
                             LrTime now);
-/* Whether LR_REACH_CHECKS targets have to be checked now, each on a new
- * connection. */
+/* Whether targets have to be checked now, each on a new connection. */
 bool LrTargetReach_TakeChecks(LrTargetReach *reach, LrTime now);
-/* Result of a check: whether the target answered, whatever the answer was. */
-void LrTargetReach_OnCheck(LrTargetReach *reach, bool answered, LrTime now);
+/* Result of a check: whether the target took the request. */
+void LrTargetReach_OnCheck(LrTargetReach *reach, bool reached, LrTime now);
 /* Whether replies have stopped on all connections, live ones included. */
 bool LrTargetReach_IsSilent(const LrTargetReach *reach, LrTime now);
 /* Share, 0 to 1, of new requests that other daemons should run: all while cut
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -714,6 +714,23 @@
     target->ejected_until = 0;
 }
 
+static void
+reset_failures(void *data, LrTarget *target)
+{
+    LrTime now = *(LrTime *)data;
+    reset_health(NULL, target);
+    target->failure_ratio = 0;
+    target->ejections = 0;
+    target->slow_start_until =
+        MIN(target->slow_start_until, now + SLOW_START_TIME);
+}
+
+void
+LrTargets_ResetFailures(LrTargets *targets, LrTime now)
+{
+    LrTargets_Each(targets, reset_failures, &now);
+}
+
 void
 LrTargets_OnLateWakeup(LrTargets *targets, LrTime now)
 {
--- a/tests/tcp_proxy.h
+++ b/tests/tcp_proxy.h
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <functional>
+#include <linux/filter.h>
 #include <map>
 #include <mutex>
 #include <netinet/in.h>
@@ -48,13 +49,20 @@
         close(listener_);
     }
 
-    // HANG: nothing passes any more. RESET: connections are reset, open and
-    // new ones. RESET_NEW: open ones go on.
+    // HANG: packets are dropped, also those of new connections. RESET:
+    // connections are reset, open and new ones. RESET_NEW: open ones go on.
     void
     cut(const std::string &source, Cut how)
     {
         std::lock_guard<std::mutex> guard(lock_);
         cuts_[source] = how;
+        std::vector<std::string> dropped;
+        for (const auto &[address, cut] : cuts_) {
+            if (cut == Cut::HANG) {
+                dropped.push_back(address);
+            }
+        }
+        drop_packets(listener_, dropped);
     }
 
   private:
@@ -62,6 +70,7 @@
         int in, out;
         std::string first;
         std::string source;
+        bool hangs = false;
     };
 
     Cut
@@ -72,6 +81,26 @@
         return found == cuts_.end() ? Cut::NONE : found->second;
     }
 
+    // Makes the socket drop what comes from these IP numbers.
+    static void
+    drop_packets(int fd, const std::vector<std::string> &sources)
+    {
+        constexpr uint32_t SOURCE_IN_IP_HEADER = 12;
+        std::vector<sock_filter> code = {
+            BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+                     (uint32_t)SKF_NET_OFF + SOURCE_IN_IP_HEADER)};
+        for (const std::string &source : sources) {
+            uint32_t ip = ntohl(inet_addr(source.c_str()));
+            code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ip, 0, 1));
+            code.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
+        }
+        code.push_back(BPF_STMT(BPF_RET | BPF_K, UINT32_MAX));
+        sock_fprog program = {.len = (unsigned short)code.size(),
+                              .filter = code.data()};
+        setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                   sizeof(program));
+    }
+
     static void
     reset(int fd)
     {
@@ -110,7 +139,7 @@
             close(out);
             return;
         }
-        pairs_.push_back({in, out, "", source});
+        pairs_.push_back({in, out, "", source, false});
     }
 
     // False when the connection ended or has to be dropped.
@@ -147,7 +176,14 @@
             std::vector<Pair> kept;
             for (Pair &pair : pairs_) {
                 Cut how = cut_of(pair.source);
-                if (how == Cut::HANG) {
+                if (pair.hangs != (how == Cut::HANG)) {
+                    pair.hangs = !pair.hangs;
+                    drop_packets(pair.in,
+                                 pair.hangs
+                                     ? std::vector<std::string>{pair.source}
+                                     : std::vector<std::string>{});
+                }
+                if (pair.hangs) {
                     kept.push_back(pair);
                     continue;
                 }
--- a/tests/test_target_reach.cc
+++ b/tests/test_target_reach.cc
@@ -74,7 +74,7 @@
     EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
     EXPECT_TRUE(LrTargetReach_TakeChecks(reach, now));
     EXPECT_FALSE(LrTargetReach_TakeChecks(reach, now)) << "not twice";
-    check(false, 2);
+    check(false, LR_REACH_CHECKS - 1);
     EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
     check(false);
     EXPECT_EQ(state(), LR_REACH_CUT_OFF);
@@ -96,7 +96,7 @@
 {
     now += 200 * MS;
     evaluate(3);
-    check(false, 2);
+    check(false, LR_REACH_CHECKS - 1);
     check(true);
     EXPECT_EQ(state(), LR_REACH_NORMAL);
     now += 100 * MS;
--- a/tests/test_unreachable_targets.cc
+++ b/tests/test_unreachable_targets.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr int BASE = 33600;
+constexpr int BASE = 32600;
 constexpr int N_TRIES = 10;
 
 using Cut = TcpProxy::Cut;
@@ -18,7 +18,7 @@
         fleet.setup();
         for (int i = 1; i <= n; i++) {
             EXPECT_TRUE(eventually([&] { return fleet.ready(i); }));
-            EXPECT_TRUE(eventually([&] { return fleet.knows_all(i); }));
+            EXPECT_TRUE(eventually([&] { return knows_delegates(i); }));
             EXPECT_TRUE(eventually([&] { return fleet.serves(i); }));
         }
     }
@@ -38,12 +38,21 @@
         return count;
     }
     bool
-    is_cut_off(int daemon) const
+    shows(int daemon, const std::string &text) const
     {
-        return http(fleet.operators(daemon, "/state"))
-                   .body.find("\"target_reach\": \"cut_off\"") !=
+        return http(fleet.operators(daemon, "/state")).body.find(text) !=
                std::string::npos;
     }
+    bool
+    is_cut_off(int daemon) const
+    {
+        return shows(daemon, "\"target_reach\": \"cut_off\"");
+    }
+    bool
+    knows_delegates(int daemon) const
+    {
+        return shows(daemon, "\"delegates\": " + std::to_string(n - 1));
+    }
     // Cuts the daemon off, and sends it requests until it has noticed.
     void
     cut(int daemon, Cut how)
@@ -97,3 +106,102 @@
             << "runs once at most";
     }
 }
+
+TEST_P(UnreachableTargets, HostsThatAreCutOffDoNotPassRequestsToEachOther)
+{
+    Cluster cluster(BASE);
+    cluster.cut(1, GetParam());
+    cluster.cut(2, GetParam());
+    for (int daemon : {1, 2}) {
+        std::string name = "of" + std::to_string(daemon);
+        EXPECT_EQ(cluster.served(daemon, "/s/", name + "gather"), N_TRIES);
+        EXPECT_EQ(cluster.served(daemon, "/o/", name + "order"), N_TRIES);
+    }
+}
+
+TEST_P(UnreachableTargets, NoTargetIsTakenAsCrashed)
+{
+    Cluster cluster(BASE);
+    cluster.cut(1, GetParam());
+    for (int i = 1; i <= cluster.n; i++) {
+        EXPECT_EQ(cluster.fleet.counter(i, "crashes"), 0) << i;
+    }
+    for (int i = 2; i <= cluster.n; i++) {
+        EXPECT_EQ(cluster.fleet.counter(i, "ejections"), 0)
+            << "a host that is cut off tells of its own links only";
+    }
+}
+
+TEST_P(UnreachableTargets, AHostThatIsBackServesItsCallersItself)
+{
+    Cluster cluster(BASE);
+    cluster.cut(1, GetParam());
+    cluster.fleet.cut(1, Cut::NONE);
+    ASSERT_TRUE(eventually([&] { return !cluster.is_cut_off(1); }));
+    ASSERT_TRUE(eventually([&] {
+        long before = cluster.fleet.counter(1, "delegated");
+        return cluster.served(1, "/s/", "back") == N_TRIES &&
+               cluster.fleet.counter(1, "delegated") == before;
+    }));
+}
+
+TEST(UnreachableTargetsOfAll, RequestsAreRefusedAtOnceAndHaveNotRun)
+{
+    Cluster cluster(BASE);
+    for (int i = 1; i <= cluster.n; i++) {
+        cluster.cut(i, Cut::HANG);
+    }
+    RoutedAnswer answer;
+    EXPECT_TRUE(eventually([&] {
+        auto begin = std::chrono::steady_clock::now();
+        answer = cluster.fleet.ask(1, "/o/late", "late", "POST", "{}");
+        auto taken = std::chrono::steady_clock::now() - begin;
+        return answer.status == 503 && taken < std::chrono::milliseconds(500);
+    }));
+    EXPECT_NE(answer.header("Retry-After"), "");
+    for (int i = 1; i <= cluster.n; i++) {
+        cluster.fleet.cut(i, Cut::NONE);
+    }
+    EXPECT_TRUE(eventually([&] { return cluster.fleet.serves(1); }));
+    EXPECT_EQ(cluster.fleet.runs("late").size(), 0U);
+}
+
+TEST(UnreachableTargetsOfAggregators, QueriesGoToTheOthersOfTheZone)
+{
+    Cluster cluster(BASE, 8, 1);
+    ASSERT_TRUE(eventually([&] {
+        cluster.fleet.ask(8, "/s/x", "early");
+        return cluster.fleet.counter(8, "forwarded") > 0;
+    }));
+    for (int i = 1; i <= RoutedFleet::N_STRONG; i++) {
+        cluster.cut(i, Cut::HANG);
+    }
+    for (int daemon : {1, 2, 8}) {
+        EXPECT_EQ(cluster.served(daemon, "/s/", std::to_string(daemon)),
+                  N_TRIES);
+    }
+}
+
+TEST(UnreachableTargetsOfOneHost, ADelegatedRequestIsCancelledWithItsCaller)
+{
+    Cluster cluster(BASE);
+    cluster.cut(1, Cut::RESET);
+    for (const char *target : {"c1", "c2"}) {
+        cluster.fleet.fault(target, "pause_ms", 5000);
+    }
+    RawCaller caller(cluster.fleet.port(1));
+    caller.send(RoutedFleet::request("/c/x", "left", "GET", "", 8000));
+    ASSERT_TRUE(
+        eventually([&] { return !cluster.fleet.runs("left").empty(); }));
+    caller.close_now();
+    EXPECT_TRUE(eventually([&] {
+        for (int i = 1; i <= cluster.n; i++) {
+            std::string state =
+                http(cluster.fleet.operators(i, "/state")).body;
+            if (state.find("\"attempts\": 0") == std::string::npos) {
+                return false;
+            }
+        }
+        return true;
+    }));
+}
