daemon: what runs at the stop limit is answered before the process ends

A report of other operators: at the end of the grace time of a planned stop, requests were cut with no answer, among them such that may not be repeated. Here new requests can't come late (no connection is taken, and none is kept, after the drain), but what still ran at the stop limit ended with its connection, which tells the caller nothing.

A quarter of a second before the limit all running queries end with what is known of them: 503 where nothing ran, 502 otherwise, answers with the parts that are in where the route allows it. Requests that other daemons run for this one are cancelled there.

RoutedTest.WhatRunsAtTheStopLimitIsAnsweredBeforeTheEnd failed before: both connections closed without an answer (status 0).

--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -2,6 +2,7 @@
  * down gracefully. */
 #include "daemon.h"
 
+#include "forward.h"
 #include "gateway.h"
 #include "active_catalogue.h"
 #include "zone_detector.h"
@@ -10,6 +11,9 @@
 
 #define TICK_SECONDS 0.1
 #define SEED_FROM_SYSTEM 0
+/* The last answers are given this long before the stop limit, two ticks and
+ * the way to the caller. */
+#define LAST_ANSWERS_TIME (250 * LR_MILLISECOND)
 
 enum { CONNECTION_IDLE_TIMEOUT_S = 30, MAX_OPERATOR_CONNECTIONS = 64 };
 
@@ -256,9 +260,32 @@
            LrHandoff_Step(daemon->handoff);
 }
 
+/* Answers what is still running when the process is about to end at the stop
+ * limit, so that no connection closes without an answer. */
+static void
+answer_at_stop_limit(LrDaemon *daemon)
+{
+    LrTime now = LrClock_Now();
+    LrTime limit = daemon->settings.stop_limit_ms * LR_MILLISECOND;
+    if (!daemon->gateway || daemon->last_answers_sent ||
+        now - daemon->stop_began_at < limit - LAST_ANSWERS_TIME) {
+        return;
+    }
+    daemon->last_answers_sent = true;
+    size_t n = LrEngine_QueryCount(daemon->engine);
+    LR_LOG(daemon->log, n > 0 ? LOG_WARNING : LOG_INFO, "stop_limit_reached",
+           LrLog_Int("running", (int64_t)n));
+    LrEngine_EndQueries(daemon->engine, now);
+    LrForward_EndAll(LrGateway_Forward(daemon->gateway));
+    LrDaemon_RunActions(daemon);
+}
+
 static void
 end_if_finished(LrDaemon *daemon)
 {
+    if (daemon->stopping) {
+        answer_at_stop_limit(daemon);
+    }
     if (daemon->stopping && is_finished(daemon)) {
         LR_LOG(daemon->log, LOG_NOTICE, "stopped",
                LrLog_Str("name", daemon->settings.name));
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -89,6 +89,8 @@
      * the other zones and can serve few requests. */
     bool isolated;
     bool drain_wait_over;
+    /* What was running near the stop limit has been answered. */
+    bool last_answers_sent;
     bool fleet_stopped;
 };
 
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -576,6 +576,18 @@
     LrEngine_ServeDirty(engine, now);
 }
 
+void
+LrEngine_EndQueries(LrEngine *engine, LrTime now)
+{
+    engine->now = now;
+    LrQuery *query;
+    LrQuery *next;
+    TAILQ_FOREACH_SAFE(query, &engine->queries, of_engine, next)
+    {
+        LrQuery_Finish(engine, query, LR_REASON_STOPPING, now);
+    }
+}
+
 void
 LrEngine_OnTargetsRegained(LrEngine *engine, LrTime now)
 {
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -437,6 +437,20 @@
     }
 }
 
+void
+LrForward_EndAll(LrForward *forward)
+{
+    GList *rows = g_hash_table_get_values(forward->forwarded);
+    for (GList *at = rows; at; at = at->next) {
+        ForwardedRequest *forwarded = at->data;
+        send_command(forwarded, LR_FORWARD_COMMAND_CANCEL);
+        fail_request(forward, forwarded,
+                     forwarded->started ? LR_STATUS_BAD_GATEWAY
+                                        : LR_STATUS_UNAVAILABLE);
+    }
+    g_list_free(rows);
+}
+
 void
 LrForward_OnDisconnect(LrForward *forward, LrStr address)
 {
--- a/liblavenderrail/forward.h
+++ b/liblavenderrail/forward.h
@@ -23,6 +23,9 @@
 /* Sends the answer to a request that another daemon forwarded. */
 void LrForward_SendAnswer(LrForward *forward, LrRoutedRequest *routed,
                           const GString *head, GBytes *body);
+/* Answers all callers whose requests other daemons have: this daemon stops
+ * now. */
+void LrForward_EndAll(LrForward *forward);
 void LrForward_OnRequest(LrForward *forward, const LrForwardMsg *message);
 void LrForward_OnAnswer(LrForward *forward, const LrForwardAnswerMsg *message);
 void LrForward_OnCommand(LrForward *forward,
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1386,6 +1386,8 @@
  * connections: ends the queries that may run again or have not run, and drops
  * what was concluded from broken connections. */
 void LrEngine_OnTargetsLost(LrEngine *engine, LrTime now);
+/* Ends all queries with what is known of them: this daemon stops now. */
+void LrEngine_EndQueries(LrEngine *engine, LrTime now);
 /* The links are back: failures of targets during the loss are forgotten. */
 void LrEngine_OnTargetsRegained(LrEngine *engine, LrTime now);
 LrQuarantine *LrEngine_Quarantine(LrEngine *engine);
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -433,6 +433,38 @@
     EXPECT_EQ(fleet->daemons[1]->wait(), 0);
 }
 
+TEST_F(RoutedTest, WhatRunsAtTheStopLimitIsAnsweredBeforeTheEnd)
+{
+    fleet->config(2, R"(,{"name":"longest","host":"q.example",
+        "prefix":"/l/","type":"non_idempotent","timeout_ms":30000,
+        "service":"c","max_attempts":2},{"name":"widest",
+        "host":"q.example","prefix":"/g/","type":"idempotent",
+        "timeout_ms":30000,"target_latency_ms":20000,"priority":1,
+        "gather":["a","b"],"max_attempts":2,"top_k":5,
+        "min_shard_share":1.0})");
+    ASSERT_TRUE(eventually(
+        [&] { return fleet->ask(1, "/l/x", "known").status == 200; }));
+    for (const char *id : {"c1", "c2", "a1", "a2"}) {
+        fleet->fault(id, "pause_ms", 20000);
+    }
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (const char *path : {"/l/x", "/g/x"}) {
+        callers.push_back(std::make_unique<RawCaller>(fleet->port(1)));
+        callers.back()->send(RoutedFleet::request(
+            path, "last" + std::string(path + 1, 1), "GET", "", 30000));
+    }
+    ASSERT_TRUE(eventually([&] {
+        return !fleet->runs("lastl").empty() && !fleet->runs("lastg").empty();
+    }));
+    fleet->daemons[1]->signal(SIGTERM);
+    for (auto &caller : callers) {
+        long status = caller->read().status;
+        EXPECT_TRUE(status == 502 || status == 504)
+            << status << ": it may have run";
+    }
+    EXPECT_EQ(fleet->daemons[1]->wait(), 0);
+}
+
 // Guards against SIGTERM's default action, which would kill a daemon that is
 // still starting.
 TEST_F(RoutedTest, SigtermDuringStartupIsAGracefulShutdown)
