tests: unreachable targets: what targets tell delegates is known at home

An answer that a delegate gets may say that its target is leaving. The host that passes it on has to know it too, when its links are back; probes tell it.

--- a/tests/routed.h
+++ b/tests/routed.h
@@ -343,6 +343,19 @@
         });
         return limit;
     }
+    // Whether daemon i believes that a searcher is leaving.
+    bool
+    is_leaving(int i, const std::string &id) const
+    {
+        bool leaving = false;
+        each_in_state(i, "targets", [&](const json_t *target) {
+            std::string name =
+                json_string_value(json_object_get(target, "name"));
+            leaving |= name.substr(0, name.find('@')) == id &&
+                       json_is_true(json_object_get(target, "leaving"));
+        });
+        return leaving;
+    }
     // Whether daemon i knows that all daemons are alive.
     bool
     knows_all(int i) const
--- a/tests/test_unreachable_targets.cc
+++ b/tests/test_unreachable_targets.cc
@@ -205,3 +205,17 @@
         return true;
     }));
 }
+
+// Its delegates get the answers in which targets say so.
+TEST(UnreachableTargetsOfOneHost, TargetsThatSayTheyAreLeavingAreKnownThere)
+{
+    Cluster cluster(BASE);
+    cluster.cut(1, Cut::RESET);
+    cluster.fleet.fault("c1", "leaving", 1);
+    cluster.fleet.fault("c2", "leaving", 1);
+    ASSERT_EQ(cluster.fleet.ask(1, "/c/x", "told").status, 200);
+    auto ran = cluster.fleet.runs("told");
+    ASSERT_EQ(ran.size(), 1U);
+    EXPECT_TRUE(
+        eventually([&] { return cluster.fleet.is_leaving(1, ran[0]); }));
+}
