target_reach, forward: two cuts in series, and rate limits beside a cut

Now a target that seems to have crashed raises it until another target is reached, refused connections always do, and an answer on a new connection ends it. TargetReach unit cases.

A delegate without share gives the request back now, and the next one is asked.

--- a/cli/trace.c
+++ b/cli/trace.c
@@ -28,7 +28,7 @@
     {"forward_declined",
      "{aggregator} declined (reaches no target: {cut_off}, had begun: "
      "{begun})"},
-    {"forward_given_back", "given back to {to}: no target is reached here"},
+    {"forward_given_back", "given back to {to}, which asks another daemon"},
     {"forward_lost", "{aggregator} was lost after {ms} ms: {why}"},
     {"forward_not_begun", "accepted, but never started by its daemon"},
     {"attempt_repeated",
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -45,6 +45,8 @@
     LrTime sent_at;
     /* The aggregator accepted it, and the command to start was sent. */
     bool started;
+    /* Forwarded because this daemon reaches no target. */
+    bool delegated;
     LrTimer timer;
 } ForwardedRequest;
 
@@ -246,6 +248,7 @@
         .body = LrStr_FromBytes(routed->body),
         .bodyless = routed->bodyless,
         .n_spent = routed->n_spent,
+        .delegated = forwarded->delegated,
         .spent_us = spent / LR_MICROSECOND,
         .timeout_us =
             left > 0 ? MAX(1, (left - TRANSIT_TIME) / LR_MICROSECOND) : 0,
@@ -288,11 +291,11 @@
                             now);
 }
 
-/* Offers the request to the daemon at that address, and logs the event; false
- * if it can't be sent. */
+/* Offers the request to the daemon at that address; false if it can't be
+ * sent. */
 static bool
 offer_request(LrForward *forward, LrRoutedRequest *routed, LrStr address,
-              const char *event)
+              bool delegated)
 {
     LrTime now = LrClock_Now();
     ForwardedRequest *forwarded = g_new0(ForwardedRequest, 1);
@@ -301,6 +304,7 @@
     forwarded->routed = routed;
     forwarded->address = LrStr_Dup(address);
     forwarded->sent_at = now;
+    forwarded->delegated = delegated;
     forwarded->timer =
         (LrTimer){.func = on_forward_timeout, .data = forwarded};
     routed->refs++;
@@ -313,7 +317,9 @@
         return false;
     }
     LrCounters_Add(forward->daemon->counters, LR_COUNT_FORWARDED, 1);
-    LR_LOG(forward->daemon->log, LOG_INFO, event, LrLog_CStr("id", routed->id),
+    LR_LOG(forward->daemon->log, LOG_INFO,
+           delegated ? "request_delegated" : "request_forwarded",
+           LrLog_CStr("id", routed->id),
            LrLog_CStr("aggregator", forwarded->address));
     LrLoopTimers_Set(forward->gateway->timers, &forwarded->timer,
                      now + ACCEPT_TIMEOUT);
@@ -326,8 +332,7 @@
 delegate(LrForward *forward, LrRoutedRequest *routed)
 {
     LrStr address = pick_delegate(forward, routed, LrClock_Now());
-    if (address.len == 0 ||
-        !offer_request(forward, routed, address, "request_delegated")) {
+    if (address.len == 0 || !offer_request(forward, routed, address, true)) {
         return false;
     }
     LrCounters_Add(forward->daemon->counters, LR_COUNT_DELEGATED, 1);
@@ -342,8 +347,7 @@
         return delegate(forward, routed);
     }
     LrStr address = pick_aggregator(forward, routed, now);
-    return address.len > 0 &&
-           offer_request(forward, routed, address, "request_forwarded");
+    return address.len > 0 && offer_request(forward, routed, address, false);
 }
 
 bool
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -145,6 +145,7 @@
     routed->n_spent = (unsigned)message->n_spent;
     routed->reply_to = LrStr_Dup(message->reply_to);
     routed->remote_id = message->id;
+    routed->delegated = message->delegated;
     routed->bodyless = message->bodyless;
     routed->head =
         g_string_new_len(message->head.ptr, (gssize)message->head.len);
--- a/liblavenderrail/gateway_answer.c
+++ b/liblavenderrail/gateway_answer.c
@@ -175,6 +175,15 @@
     return due - LrClock_Now() > MIN_TIME_TO_HAND_OVER;
 }
 
+/* Whether this daemon's share of a target's rate limit is used up by a request
+ * of a daemon that can't use its own share; others may have some left. */
+static bool
+lacks_share(const LrRoutedRequest *routed, const LrAnswer *answer)
+{
+    return routed->delegated && answer->reason == LR_REASON_TARGET_LIMIT &&
+           answer->outcome == LR_OUTCOME_NOT_RUN;
+}
+
 /* Whether the request failed while this daemon may reach no target, and may be
  * run by another one. */
 static bool
@@ -204,7 +213,7 @@
         LrRoutedRequest_Unref(routed);
         return;
     }
-    if (may_hand_over(routed, answer)) {
+    if (may_hand_over(routed, answer) || lacks_share(routed, answer)) {
         routed->n_spent += answer->n_spent;
         if (LrForward_HandOver(routed->gateway->forward, routed)) {
             return;
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -66,6 +66,8 @@
      * and its id at that daemon. */
     char *reply_to;
     int64_t remote_id;
+    /* That daemon reaches no target and can try others. */
+    bool delegated;
     /* Drops a request that was accepted from another daemon and not
      * started. */
     LrTimer start_timer;
--- a/liblavenderrail/gateway_reach.c
+++ b/liblavenderrail/gateway_reach.c
@@ -152,11 +152,15 @@
     LrTarget *target =
         LrTargets_Lookup(LrEngine_Targets(gateway->daemon->engine), key);
     if (answered) {
-        LrTargetReach_OnNewConnection(gateway->reach);
+        LrTargetReach_OnNewConnection(gateway->reach, LrClock_Now());
     }
     else if (target) {
         LrTargetReach_OnConnectFailed(gateway->reach, target->index,
                                       LrClock_Now());
+        if (target->n_broken_requests > 0) {
+            LrTargetReach_OnTargetDown(gateway->reach, LrClock_Now());
+        }
+        LrGateway_UpdateReach(gateway, LrClock_Now());
     }
 }
 
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1821,6 +1821,11 @@
      .min = 0,
      .max = 1000,
      .fallback = 0},
+    {.name = "delegated",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrForwardMsg, delegated),
+     .hint = "whether the sender reaches no target, so that another daemon than the receiver may run the request as well",
+     .fallback = 0},
 };
 
 const LrRecordDescriptor LrForwardMsg_Descriptor = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -777,6 +777,8 @@
     int64_t timeout_us;
     /* attempts of each part that may have run at targets already */
     int64_t n_spent;
+    /* whether the sender reaches no target, so that another daemon than the receiver may run the request as well */
+    bool delegated;
 } LrForwardMsg;
 extern const LrRecordDescriptor LrForwardMsg_Descriptor;
 #define LR_MSG_FORWARD 15
--- a/liblavenderrail/target_reach.c
+++ b/liblavenderrail/target_reach.c
@@ -11,8 +11,8 @@
 #define SILENCE_TIME (150 * LR_MILLISECOND)
 /* Pause between two sets of checks. */
 #define CHECK_INTERVAL (250 * LR_MILLISECOND)
-/* After a check that passed, failures of single targets raise no doubt for
- * this long. */
+/* After a doubt that was wrong, silence or a target that is down raise none
+ * for this long. */
 #define TRUST_TIME (500 * LR_MILLISECOND)
 /* A daemon that was cut off takes its requests back over this time, so that
  * many daemons that return together don't open all their connections at
@@ -98,12 +98,12 @@
 static void
 consider(LrTargetReach *reach, LrTime now)
 {
-    if (reach->state != LR_REACH_NORMAL || reach->n_targets == 0 ||
-        now < reach->trusted_until) {
+    if (reach->state != LR_REACH_NORMAL || reach->n_targets == 0) {
         return;
     }
     bool refused = reach->n_failed >= MIN(MIN_FAILED, reach->n_targets);
-    bool silent = reach->n_overdue >= MIN(MIN_OVERDUE, reach->n_targets) &&
+    bool silent = now >= reach->trusted_until &&
+                  reach->n_overdue >= MIN(MIN_OVERDUE, reach->n_targets) &&
                   LrTargetReach_IsSilent(reach, now);
     if (refused || silent) {
         set_state(reach, LR_REACH_IN_DOUBT, now);
@@ -117,9 +117,23 @@
 }
 
 void
-LrTargetReach_OnNewConnection(LrTargetReach *reach)
+LrTargetReach_OnNewConnection(LrTargetReach *reach, LrTime now)
 {
     reach->n_failed = 0;
+    /* It tells as much as a check that passed. */
+    if (reach->state == LR_REACH_IN_DOUBT) {
+        reach->trusted_until = now + TRUST_TIME;
+        set_state(reach, LR_REACH_NORMAL, now);
+    }
+}
+
+void
+LrTargetReach_OnTargetDown(LrTargetReach *reach, LrTime now)
+{
+    if (reach->state == LR_REACH_NORMAL && reach->n_targets > 1 &&
+        now >= reach->trusted_until) {
+        set_state(reach, LR_REACH_IN_DOUBT, now);
+    }
 }
 
 bool
@@ -219,7 +233,6 @@
     }
     else if (reach->state == LR_REACH_CUT_OFF &&
              reach->n_checks_passed >= MIN(MIN_PASSED, reach->n_targets)) {
-        reach->trusted_until = now + TRUST_TIME;
         on_regained(reach, now);
     }
 }
--- a/liblavenderrail/target_reach.h
+++ b/liblavenderrail/target_reach.h
@@ -32,9 +32,12 @@
 void LrTargetReach_OnReply(LrTargetReach *reach, LrTime now);
 /* A target answered on a new connection, or such a connection failed. Targets
  * are named by their index. */
-void LrTargetReach_OnNewConnection(LrTargetReach *reach);
+void LrTargetReach_OnNewConnection(LrTargetReach *reach, LrTime now);
 void LrTargetReach_OnConnectFailed(LrTargetReach *reach, uint32_t target,
                                    LrTime now);
+/* A target seems to have crashed: doubt holds until another one is reached,
+ * since a daemon that is cut off takes every target as down. */
+void LrTargetReach_OnTargetDown(LrTargetReach *reach, LrTime now);
 /* Whether a new connection to the target failed, and no target has answered on
  * one since. */
 bool LrTargetReach_HasFailed(const LrTargetReach *reach, uint32_t target);
--- a/tests/test_target_reach.cc
+++ b/tests/test_target_reach.cc
@@ -123,7 +123,7 @@
 {
     LrTargetReach_OnConnectFailed(reach, 7, now);
     EXPECT_TRUE(LrTargetReach_HasFailed(reach, 7));
-    LrTargetReach_OnNewConnection(reach);
+    LrTargetReach_OnNewConnection(reach, now);
     EXPECT_FALSE(LrTargetReach_HasFailed(reach, 7));
     LrTargetReach_OnConnectFailed(reach, 8, now);
     EXPECT_EQ(state(), LR_REACH_NORMAL);
@@ -133,7 +133,7 @@
 {
     cut_off();
     LrTargetReach_OnReply(reach, now);
-    LrTargetReach_OnNewConnection(reach);
+    LrTargetReach_OnNewConnection(reach, now);
     EXPECT_EQ(state(), LR_REACH_CUT_OFF) << "an older connection";
     check(true);
     EXPECT_EQ(state(), LR_REACH_CUT_OFF);
@@ -172,3 +172,34 @@
     evaluate(0);
     EXPECT_EQ(state(), LR_REACH_NORMAL);
 }
+
+// The first requests after the return meet the next cut.
+TEST_F(TargetReachTest, ACutRightAfterAnotherOneRaisesDoubtAtOnce)
+{
+    cut_off();
+    check(true, 2);
+    ASSERT_EQ(state(), LR_REACH_NORMAL);
+    LrTargetReach_OnConnectFailed(reach, 1, now);
+    LrTargetReach_OnConnectFailed(reach, 2, now);
+    EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
+}
+
+TEST_F(TargetReachTest, AnAnswerOnANewConnectionEndsTheDoubt)
+{
+    LrTargetReach_OnConnectFailed(reach, 1, now);
+    LrTargetReach_OnConnectFailed(reach, 2, now);
+    LrTargetReach_OnNewConnection(reach, now);
+    EXPECT_EQ(state(), LR_REACH_NORMAL);
+}
+
+TEST_F(TargetReachTest, ATargetThatSeemsToHaveCrashedRaisesDoubtOnce)
+{
+    LrTargetReach_OnTargetDown(reach, now);
+    EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
+    check(true);
+    LrTargetReach_OnTargetDown(reach, now);
+    EXPECT_EQ(state(), LR_REACH_NORMAL) << "others were reached just now";
+    now += LR_SECOND;
+    LrTargetReach_OnTargetDown(reach, now);
+    EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
+}
