forward: a delegate that can't run a request gives it back

A delegated request that has not run is given back where the reason need not hold for others (no_replica, target_limit), to four daemons at most, since what these can't serve nobody can.

--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -33,6 +33,9 @@
     /* Offers of a request while this daemon reaches no target. Four fifths of
      * a fleet may be in the same state; to decline takes one round trip. */
     MAX_DELEGATIONS = 16,
+    /* Delegates that may give a request back before it is refused: what these
+     * can't serve, nobody can. */
+    MAX_GIVEN_BACK = 4,
 };
 
 /* A request that this daemon forwarded to an aggregator, or to a daemon that
@@ -284,7 +287,8 @@
 pick_delegate(const LrForward *forward, const LrRoutedRequest *routed,
               LrTime now)
 {
-    if (routed->n_forwards >= MAX_DELEGATIONS) {
+    if (routed->n_forwards >= MAX_DELEGATIONS ||
+        routed->n_given_back >= MAX_GIVEN_BACK) {
         return LrStr_FromC("");
     }
     return LrDelegates_Pick(forward->daemon->delegates, routed->route->scatter,
@@ -399,6 +403,7 @@
         LrDelegates_OnCutOff(daemon->delegates, address, now);
     }
     LrRoutedRequest *routed = forwarded->routed;
+    routed->n_given_back += forwarded->started;
     routed->n_spent = MAX(routed->n_spent, (unsigned)message->n_spent);
     LrFleet_PullIfNewer(daemon, address, message->revision, now);
     forward_elsewhere(forward, forwarded);
--- a/liblavenderrail/gateway_answer.c
+++ b/liblavenderrail/gateway_answer.c
@@ -175,13 +175,15 @@
     return due - LrClock_Now() > MIN_TIME_TO_HAND_OVER;
 }
 
-/* Whether this daemon's share of a target's rate limit is used up by a request
- * of a daemon that can't use its own share; others may have some left. */
+/* Whether this daemon can't run a request of one that reaches no target, for
+ * reasons that need not hold for others: targets that it left out, or that
+ * want a pause from it, or a share of a rate limit that is used up. */
 static bool
-lacks_share(const LrRoutedRequest *routed, const LrAnswer *answer)
+may_give_back(const LrRoutedRequest *routed, const LrAnswer *answer)
 {
-    return routed->delegated && answer->reason == LR_REASON_TARGET_LIMIT &&
-           answer->outcome == LR_OUTCOME_NOT_RUN;
+    bool local = answer->reason == LR_REASON_TARGET_LIMIT ||
+                 answer->reason == LR_REASON_NO_REPLICA;
+    return routed->delegated && local && answer->outcome == LR_OUTCOME_NOT_RUN;
 }
 
 /* Whether the request failed while this daemon may reach no target, and may be
@@ -213,7 +215,7 @@
         LrRoutedRequest_Unref(routed);
         return;
     }
-    if (may_hand_over(routed, answer) || lacks_share(routed, answer)) {
+    if (may_hand_over(routed, answer) || may_give_back(routed, answer)) {
         routed->n_spent += answer->n_spent;
         if (LrForward_HandOver(routed->gateway->forward, routed)) {
             return;
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -59,6 +59,8 @@
     int64_t forward_id;
     /* Number of daemons that it was offered to so far. */
     unsigned n_forwards;
+    /* How many of them began it and gave it back. */
+    unsigned n_given_back;
     /* Attempts of each part that may have run, at the order of this daemon or
      * of those that gave the request back. */
     unsigned n_spent;
