--- a/liblavenderrail/target_reach.c
+++ b/liblavenderrail/target_reach.c
@@ -27,7 +27,7 @@
      * raise doubt; all targets where there are fewer. */
     MIN_FAILED = 2,
     MIN_OVERDUE = 3,
-    /* Passed checks that end the cut. */
+    /* Checks that pass one after the other and end the cut. */
     MIN_PASSED = 2,
     MAX_FAILED = 16,
 };
@@ -52,7 +52,8 @@
     LrTime evaluated_at;
     LrTime checked_at;
     LrTime trusted_until;
-    /* Checks since the doubt or the cut began. */
+    /* Failed checks since the doubt or the cut began, and checks that passed
+     * since the last failed one. */
     unsigned n_checks_failed;
     unsigned n_checks_passed;
     LrTime cut_at;
@@ -245,6 +246,7 @@
         return;
     }
     reach->n_checks_failed++;
+    reach->n_checks_passed = 0;
     if (reach->state == LR_REACH_IN_DOUBT &&
         reach->n_checks_failed >= MIN(LR_REACH_CHECKS, reach->n_targets)) {
         on_cut_off(reach, now);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -160,6 +160,7 @@
         self.with_cuts = options.seed % 2 == 0
         self.searcher_proxies = []
         self.cut_lock = asyncio.Lock()
+        self.cut_now = ("", "")
         self.violations = collections.Counter()
         self.examples = []
         self.sent = {}
@@ -283,6 +284,7 @@
             listen = port + 300
             proxy = Proxy(port, listen)
             await proxy.start()
+            proxy.cut(*self.cut_now)
             self.searcher_proxies.append(proxy)
         await self.control(
             "server?id=%s&service=%s&zone=%s&address=%s&listen=%s" % (
@@ -662,6 +664,7 @@
         self.disturbances.append(("d%d" % i, start, end + 1))
 
     def cut_searchers(self, i, kind):
+        self.cut_now = (self.source(i) if kind else "", kind)
         for proxy in self.searcher_proxies:
             proxy.cut(self.source(i), kind)
 
--- a/tests/test_target_reach.cc
+++ b/tests/test_target_reach.cc
@@ -145,6 +145,16 @@
     EXPECT_EQ(LrTargetReach_DelegatedShare(reach, now), 0);
 }
 
+TEST_F(TargetReachTest, AFewTargetsThatAreReachedDoNotEndTheCut)
+{
+    cut_off();
+    for (int i = 0; i < 20; i++) {
+        check(true);
+        check(false, 2);
+        EXPECT_EQ(state(), LR_REACH_CUT_OFF);
+    }
+}
+
 TEST_F(TargetReachTest, APauseOfThisProcessIsNoSilence)
 {
     now += 5 * LR_SECOND;
