crash, target_reach: a verdict that waits for the links is given as soon as they are known

A target that is found down raises doubt of the links now; the verdict waited for the next set of checks, up to 250 ms after the last one, and then for another check of the target, while the request went on. The first checks of a doubt go out after 50 ms at the latest, and the verdict is given when they pass.

--- a/liblavenderrail/crash.c
+++ b/liblavenderrail/crash.c
@@ -372,7 +372,8 @@
 settle(LrEngine *engine, LrTarget *target, bool down, LrTime now)
 {
     /* A daemon without links takes every target as down. */
-    if (down && engine->links_in_doubt) {
+    target->down_in_doubt = down && engine->links_in_doubt;
+    if (target->down_in_doubt) {
         return;
     }
     LrBrokenRequest broken[LR_MAX_BROKEN_REQUESTS];
@@ -434,6 +435,7 @@
     }
     target->n_broken_requests = 0;
     target->broken_at = 0;
+    target->down_in_doubt = false;
 }
 
 void
@@ -443,19 +445,25 @@
 }
 
 static void
-check_again(void *data, LrTarget *target)
+collect_postponed(void *data, LrTarget *target)
 {
-    LrEngine *engine = data;
-    if (target->n_broken_requests > 0) {
-        schedule_check(engine, target, engine->now);
+    if (target->down_in_doubt) {
+        target->refs++;
+        g_ptr_array_add(data, target);
     }
 }
 
 void
-LrCrash_CheckAgain(LrEngine *engine, LrTime now)
+LrCrash_SettlePostponed(LrEngine *engine, LrTime now)
 {
+    g_autoptr(GPtrArray) targets = g_ptr_array_new();
     engine->now = now;
-    LrTargets_Each(engine->targets, check_again, engine);
+    LrTargets_Each(engine->targets, collect_postponed, targets);
+    for (guint i = 0; i < targets->len; i++) {
+        LrTarget *target = targets->pdata[i];
+        settle(engine, target, true, now);
+        LrTargets_Release(engine->targets, target);
+    }
 }
 
 static bool
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -555,7 +555,8 @@
 {
     engine->links_in_doubt = in_doubt;
     if (!in_doubt) {
-        LrCrash_CheckAgain(engine, now);
+        LrCrash_SettlePostponed(engine, now);
+        LrEngine_ServeDirty(engine, now);
     }
 }
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -618,6 +618,8 @@
     unsigned n_broken_requests;
     /* A check of it is due or runs. */
     bool checking;
+    /* It was found down while this daemon's own links were in doubt. */
+    bool down_in_doubt;
     uint32_t ejections;
     LrTime ejected_until;
     /* Until then another target is believed to be at the address. */
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -286,9 +286,9 @@
 /* Drops what broken connections seemed to tell of targets and requests, here
  * and at the peers that were told. */
 void LrCrash_DropUnconfirmed(LrEngine *engine);
-/* Checks the targets again whose connections broke while the links were in
+/* Settles the crashes of targets that were found down while the links were in
  * doubt. */
-void LrCrash_CheckAgain(LrEngine *engine, LrTime now);
+void LrCrash_SettlePostponed(LrEngine *engine, LrTime now);
 void LrCrash_OnAnswered(LrEngine *engine, LrQuery *query, LrTime now);
 /* Ends the parts of a query that is quarantined. */
 void LrCrash_QuarantineQuery(LrEngine *engine, LrQuery *query);
--- a/liblavenderrail/target_reach.c
+++ b/liblavenderrail/target_reach.c
@@ -9,8 +9,10 @@
  * doubt. Targets reply many times within it to a daemon with some load; a
  * doubt that is wrong costs only the checks. */
 #define SILENCE_TIME (150 * LR_MILLISECOND)
-/* Pause between two sets of checks. */
+/* Pause between two sets of checks, and before the first one of a doubt: a
+ * crashing request is held up meanwhile. */
 #define CHECK_INTERVAL (250 * LR_MILLISECOND)
+#define FIRST_CHECK_INTERVAL (50 * LR_MILLISECOND)
 /* After a doubt that was wrong, silence or a target that is down raise none
  * for this long. */
 #define TRUST_TIME (500 * LR_MILLISECOND)
@@ -51,6 +53,8 @@
     LrTime last_reply_at;
     LrTime evaluated_at;
     LrTime checked_at;
+    /* Checks have been sent since the doubt began. */
+    bool checked_in_doubt;
     LrTime trusted_until;
     /* Failed checks since the doubt or the cut began, and checks that passed
      * since the last failed one. */
@@ -85,6 +89,8 @@
 set_state(LrTargetReach *reach, LrReachState state, LrTime now)
 {
     reach->state = state;
+    reach->checked_in_doubt =
+        reach->checked_in_doubt && state != LR_REACH_NORMAL;
     reach->n_checks_passed = 0;
     reach->n_checks_failed = 0;
     LR_LOG(
@@ -191,11 +197,14 @@
 bool
 LrTargetReach_TakeChecks(LrTargetReach *reach, LrTime now)
 {
+    LrTime pause =
+        reach->checked_in_doubt ? CHECK_INTERVAL : FIRST_CHECK_INTERVAL;
     if (reach->state == LR_REACH_NORMAL ||
-        (reach->checked_at > 0 && now - reach->checked_at < CHECK_INTERVAL)) {
+        (reach->checked_at > 0 && now - reach->checked_at < pause)) {
         return false;
     }
     reach->checked_at = now;
+    reach->checked_in_doubt = true;
     return true;
 }
 
