forward, target_reach, tests: what the change wrote twice stands once

Found when the whole change was read again; behaviour stays as it is. - forward: send_declined makes the answer of decline and give_back, which differed in n_spent only. - gateway: LrRoutedRequest_Due is the one computation of when a request has to be answered; on_accepted and has_time_left each had their own. - target_reach: a check that passes ends a doubt by OnNewConnection, which says the same. - lr-standin-routed: put_body serves /control/config and /control/raw. - tests: listen_on, for two fake searchers that opened the same listener. - private.h: the comment of LrCrash_OnAnswered is back at its function; delegates.c: an include that nothing used.

--- a/cli/standin_routed.c
+++ b/cli/standin_routed.c
@@ -808,24 +808,28 @@
     reply_json(exchange, 200, NULL);
 }
 
+/* Stores the body of the request as it is. */
 static void
-put_config(Standin *standin, LrExchange *exchange)
+put_body(Standin *standin, LrExchange *exchange, const char *key)
 {
     g_autofree char *text =
         LrStr_Dup(LrStr_FromBytes(LrExchange_Body(exchange)));
-    write_item(standin, "op/config", text);
+    write_item(standin, key, text);
     reply_json(exchange, 200, NULL);
 }
 
-/* Stores the body as it is, as another writer may. */
+static void
+put_config(Standin *standin, LrExchange *exchange)
+{
+    put_body(standin, exchange, "op/config");
+}
+
+/* Stores what another writer may. */
 static void
 put_raw(Standin *standin, LrExchange *exchange)
 {
     g_autofree char *key = text_argument(exchange, "key");
-    g_autofree char *text =
-        LrStr_Dup(LrStr_FromBytes(LrExchange_Body(exchange)));
-    write_item(standin, key, text);
-    reply_json(exchange, 200, NULL);
+    put_body(standin, exchange, key);
 }
 
 static void
--- a/liblavenderrail/delegates.c
+++ b/liblavenderrail/delegates.c
@@ -3,8 +3,6 @@
  * those again after a while. */
 #include "delegates.h"
 
-#include <string.h>
-
 /* A daemon that did not accept a request gets none for this long: probing
  * detects a dead one in about the same time. */
 #define FAILURE_BACKOFF (2 * LR_SECOND)
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -376,13 +376,8 @@
                              now - forwarded->sent_at, now);
     forwarded->started = true;
     send_command(forwarded, LR_FORWARD_COMMAND_START);
-    const LrRoutedRequest *routed = forwarded->routed;
-    LrTime limit = routed->route->timeout_ms * LR_MILLISECOND;
-    LrTime due = routed->arrived_at + limit;
-    if (routed->deadline > 0) {
-        due = MIN(due, routed->deadline);
-    }
-    LrLoopTimers_Set(forward->gateway->timers, &forwarded->timer, due);
+    LrLoopTimers_Set(forward->gateway->timers, &forwarded->timer,
+                     LrRoutedRequest_Due(forwarded->routed));
 }
 
 static void
@@ -519,19 +514,29 @@
 }
 
 static void
-decline(LrForward *forward, const LrForwardMsg *message, const char *why)
+send_declined(const LrForward *forward, LrStr address, int64_t id,
+              LrStr request_id, unsigned n_spent)
 {
-    LrDaemon *daemon = forward->daemon;
     LrForwardAnswerMsg answer = {
-        .id = message->id,
-        .request_id = message->request_id,
+        .id = id,
+        .request_id = request_id,
         .step = LR_FORWARD_DECLINED,
-        .revision = LrActiveCatalogue_Revision(daemon->active_catalogue),
+        .revision =
+            LrActiveCatalogue_Revision(forward->daemon->active_catalogue),
         .cut_off = LrGateway_IsCutOff(forward->gateway),
+        .n_spent = n_spent,
     };
+    send_answer(forward, address, &answer);
+}
+
+static void
+decline(LrForward *forward, const LrForwardMsg *message, const char *why)
+{
+    LrDaemon *daemon = forward->daemon;
     LR_LOG(daemon->log, LOG_INFO, "forward_refused",
            LrLog_Str("id", message->request_id), LrLog_CStr("why", why));
-    send_answer(forward, message->reply_to, &answer);
+    send_declined(forward, message->reply_to, message->id, message->request_id,
+                  0);
     LrFleet_PullIfNewer(daemon, message->reply_to, message->revision,
                         LrClock_Now());
 }
@@ -542,18 +547,10 @@
 give_back(LrForward *forward, LrRoutedRequest *routed)
 {
     LrStr address = LrStr_FromC(routed->reply_to);
-    LrForwardAnswerMsg answer = {
-        .id = routed->remote_id,
-        .request_id = LrStr_FromC(routed->id),
-        .step = LR_FORWARD_DECLINED,
-        .revision =
-            LrActiveCatalogue_Revision(forward->daemon->active_catalogue),
-        .cut_off = LrGateway_IsCutOff(forward->gateway),
-        .n_spent = routed->n_spent,
-    };
     LR_LOG(forward->daemon->log, LOG_INFO, "forward_given_back",
            LrLog_CStr("id", routed->id), LrLog_Str("to", address));
-    send_answer(forward, address, &answer);
+    send_declined(forward, address, routed->remote_id, LrStr_FromC(routed->id),
+                  routed->n_spent);
     g_autofree char *key = accepted_key(address, routed->remote_id);
     g_hash_table_remove(forward->accepted, key);
     LrRoutedRequest_Unref(routed);
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -36,6 +36,14 @@
     g_free(routed);
 }
 
+LrTime
+LrRoutedRequest_Due(const LrRoutedRequest *routed)
+{
+    LrTime due =
+        routed->arrived_at + routed->route->timeout_ms * LR_MILLISECOND;
+    return routed->deadline > 0 ? MIN(due, routed->deadline) : due;
+}
+
 static void
 answer_error(LrGateway *gateway, LrCallerExchange *exchange, unsigned status,
              LrTime after)
--- a/liblavenderrail/gateway_answer.c
+++ b/liblavenderrail/gateway_answer.c
@@ -164,17 +164,6 @@
     answer_caller(routed, head, NULL);
 }
 
-static bool
-has_time_left(const LrRoutedRequest *routed)
-{
-    LrTime due =
-        routed->arrived_at + routed->route->timeout_ms * LR_MILLISECOND;
-    if (routed->deadline > 0) {
-        due = MIN(due, routed->deadline);
-    }
-    return due - LrClock_Now() > MIN_TIME_TO_HAND_OVER;
-}
-
 /* Whether this daemon can't run a request of one that reaches no target, for
  * reasons that need not hold for others: targets that it left out, or that
  * want a pause from it, or a share of a rate limit that is used up. */
@@ -205,7 +194,8 @@
     bool may_repeat = routed->route->idempotent &&
                       (answer->n_spent == 0 || state == LR_REACH_CUT_OFF);
     bool may_run = answer->outcome == LR_OUTCOME_NOT_RUN || may_repeat;
-    return may_run && !by_target && !refused && has_time_left(routed);
+    LrTime left = LrRoutedRequest_Due(routed) - LrClock_Now();
+    return may_run && !by_target && !refused && left > MIN_TIME_TO_HAND_OVER;
 }
 
 void
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -83,6 +83,9 @@
 
 /* gateway.c */
 void LrRoutedRequest_Unref(LrRoutedRequest *routed);
+/* When the request has to be answered at the latest, by its route and by its
+ * caller. */
+LrTime LrRoutedRequest_Due(const LrRoutedRequest *routed);
 /* Submits a request to the engine. */
 void LrGateway_Submit(LrGateway *gateway, LrRoutedRequest *routed);
 /* Creates the request that another daemon forwarded. Its first reference is
--- a/liblavenderrail/private.h
+++ b/liblavenderrail/private.h
@@ -282,13 +282,13 @@
  * that broke before were broken by a crash of the target. May end queries. */
 void LrCrash_OnReply(LrEngine *engine, LrTarget *target, LrTime sent_at,
                      LrReplyStatus status, LrTime now);
-/* A target answered the query. */
 /* Drops what broken connections seemed to tell of targets and requests, here
  * and at the peers that were told. */
 void LrCrash_DropUnconfirmed(LrEngine *engine);
 /* Settles the crashes of targets that were found down while the links were in
  * doubt. */
 void LrCrash_SettlePostponed(LrEngine *engine, LrTime now);
+/* A target answered the query. */
 void LrCrash_OnAnswered(LrEngine *engine, LrQuery *query, LrTime now);
 /* Ends the parts of a query that is quarantined. */
 void LrCrash_QuarantineQuery(LrEngine *engine, LrQuery *query);
--- a/liblavenderrail/target_reach.c
+++ b/liblavenderrail/target_reach.c
@@ -234,15 +234,11 @@
 on_reached(LrTargetReach *reach, LrTime now)
 {
     reach->last_reply_at = now;
-    reach->n_failed = 0;
     reach->n_checks_failed = 0;
     reach->n_checks_passed++;
-    if (reach->state == LR_REACH_IN_DOUBT) {
-        reach->trusted_until = now + TRUST_TIME;
-        set_state(reach, LR_REACH_NORMAL, now);
-    }
-    else if (reach->state == LR_REACH_CUT_OFF &&
-             reach->n_checks_passed >= MIN(MIN_PASSED, reach->n_targets)) {
+    LrTargetReach_OnNewConnection(reach, now);
+    if (reach->state == LR_REACH_CUT_OFF &&
+        reach->n_checks_passed >= MIN(MIN_PASSED, reach->n_targets)) {
         on_regained(reach, now);
     }
 }
--- a/tests/routed.h
+++ b/tests/routed.h
@@ -108,6 +108,22 @@
     std::string buffer;
 };
 
+// Listens on a loopback port for a fake searcher.
+inline int
+listen_on(int port)
+{
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in at = {};
+    at.sin_family = AF_INET;
+    at.sin_port = htons((uint16_t)port);
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(bind(listener, (sockaddr *)&at, sizeof(at)), 0);
+    EXPECT_EQ(listen(listener, 64), 0);
+    return listener;
+}
+
 class RoutedFleet {
   public:
     RoutedFleet(int first_port, int n_daemons, int zones = 3)
--- a/tests/test_broken_input.cc
+++ b/tests/test_broken_input.cc
@@ -56,15 +56,7 @@
   public:
     FixedServer(int port, std::string text) : text_(std::move(text))
     {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        int on = 1;
-        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        sockaddr_in at = {};
-        at.sin_family = AF_INET;
-        at.sin_port = htons((uint16_t)port);
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(bind(listener_, (sockaddr *)&at, sizeof(at)), 0);
-        EXPECT_EQ(listen(listener_, 64), 0);
+        listener_ = listen_on(port);
         thread_ = std::thread([this] { answer_all(); });
     }
     ~FixedServer()
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -135,15 +135,7 @@
     EndlessServer(int port, std::string begin, std::string more)
         : begin_(std::move(begin)), more_(std::move(more))
     {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        int on = 1;
-        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        sockaddr_in at = {};
-        at.sin_family = AF_INET;
-        at.sin_port = htons((uint16_t)port);
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(bind(listener_, (sockaddr *)&at, sizeof(at)), 0);
-        EXPECT_EQ(listen(listener_, 64), 0);
+        listener_ = listen_on(port);
         acceptor_ = std::thread([this] { accept_all(); });
     }
     ~EndlessServer()
