review: a stranded machine and a stop in its zone

Cause: a machine that reaches no searcher offers its requests again and again to the one live machine of its zone, which declines them since it is stopping.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -31,9 +32,15 @@
 
 
 def free_port(address="127.0.0.1"):
-    with socket.socket() as sock:
-        sock.bind((address, 0))
-        return sock.getsockname()[1]
+    """A port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randint(10000, 30000)
+        with socket.socket() as sock:
+            try:
+                sock.bind((address, port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
@@ -246,6 +253,8 @@
         self.port = 0
         self.server = None
         self.writers = set()
+        # Machines whose connections are reset, by their IP.
+        self.cut_from = set()
         # (seconds, request id) of all requests that reached it.
         self.arrivals = []
 
@@ -274,7 +283,21 @@
         for writer in list(self.writers):
             reset(writer)
 
+    def cut(self, source):
+        """Partitions a machine from this searcher: connections from it are
+        reset, open and new ones."""
+        self.cut_from.add(source)
+        for writer in list(self.writers):
+            if writer.get_extra_info("peername")[0] == source:
+                reset(writer)
+
+    def heal(self, source):
+        self.cut_from.discard(source)
+
     async def serve(self, reader, writer):
+        if writer.get_extra_info("peername")[0] in self.cut_from:
+            reset(writer)
+            return
         self.writers.add(writer)
         try:
             while True:
@@ -342,6 +365,8 @@
         self.control = free_port()
         self.process = None
         self.bootstrap = True
+        # On a machine of its own it connects to searchers from its own IP.
+        self.source = f"127.0.1.{number}"
 
     def settings(self):
         fields = {
@@ -357,7 +382,7 @@
             "bounds.retry_budget_extra": "56",
         }
         with open(TEMPLATE, encoding="utf-8") as file:
-            text = file.read()
+            text = file.read() + f"target-source={self.source}\n"
         return re.sub(r"\{\{([a-z_.]+)\}\}", lambda m: fields[m.group(1)],
                       text)
 
