review: requests that run on more searchers than allowed

Cause: a machine whose new connections are reset by busy searchers takes itself as cut off and hands its running queries over, whatever attempts they have left.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -255,8 +255,15 @@
         self.writers = set()
         # Machines whose connections are reset, by their IP.
         self.cut_from = set()
-        # (seconds, request id) of all requests that reached it.
+        # Connections that it takes from all callers together, and how many of
+        # them while more requests wait than it has slots.
+        self.max_connections = 96
+        self.max_when_busy = 96
+        self.n_waiting = 0
+        # (seconds, request id) of all requests that reached it, and the ids
+        # of those that it began to work on.
         self.arrivals = []
+        self.runs = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1",
@@ -295,7 +302,11 @@
         self.cut_from.discard(source)
 
     async def serve(self, reader, writer):
-        if writer.get_extra_info("peername")[0] in self.cut_from:
+        busy = self.n_waiting > self.n_slots
+        limit = self.max_when_busy if busy else self.max_connections
+        if (writer.get_extra_info("peername")[0] in self.cut_from
+                or len(self.writers) >= limit):
+            self.record.add("resets", server=self.id)
             reset(writer)
             return
         self.writers.add(writer)
@@ -333,8 +344,11 @@
 
     async def run(self, request, body=None):
         name = request.get("X-Request-Id")
+        self.n_waiting += 1
         async with self.slots:
+            self.n_waiting -= 1
             self.record.add("runs", server=self.id, id=name)
+            self.runs.append(name)
             await asyncio.sleep(self.work_s)
         body = f"{self.id} {name}\n".encode() if body is None else body
         return compose(200, "OK", [
@@ -524,13 +538,14 @@
 
     async def traffic(self, target, per_s, for_s, deadline_ms=6000):
         """Open-loop traffic, over all machines in turn, on connections that
-        are kept open."""
+        are kept open. In the target, {n} is the number of the request."""
         idle = {machine.name: [] for machine in self.machines}
 
-        async def one(machine):
+        async def one(machine, n):
             pool = idle[machine.name]
             connection = pool.pop() if pool else Connection(self, machine)
-            await connection.ask(self.new_id(machine), target, deadline_ms)
+            await connection.ask(self.new_id(machine),
+                                 target.replace("{n}", str(n)), deadline_ms)
             if connection.writer is not None:
                 pool.append(connection)
 
@@ -539,7 +554,7 @@
             delay = began + i / per_s - time.monotonic()
             if delay > 0:
                 await asyncio.sleep(delay)
-            self.spawn(one(self.machines[i % len(self.machines)]))
+            self.spawn(one(self.machines[i % len(self.machines)], i))
 
     async def stop(self):
         for machine in self.machines:
