forward, peer_availability: a request is offered to no daemon twice that declined it

Cause: of daemons that decline a forwarded request only those without links to targets were remembered, by delegates and by aggregators each for itself. A stopping one was drawn again from its zone until the 16 offers of a request were used up; the log of the case shows 16 request_delegated to the same address within 1 ms, and membership tells of the stop 0.6 s later.

Change: one table, peer_availability, keeps what daemons replied to offers, for aggregators and delegates; a stopping process gets none until membership names its successor. A request keeps who declined it. The answer to an offer says why it declines (new last field; builds without it see a stopping daemon as cut off, which they leave out for two seconds). An offer that can't be sent goes to the next daemon.

--- a/cli/trace.c
+++ b/cli/trace.c
@@ -25,10 +25,9 @@
     {"request_forwarded", "handed to the aggregator {aggregator}"},
     {"request_delegated", "no target is reached here: handed to {aggregator}"},
     {"forward_refused", "not accepted: {why}"},
-    {"forward_declined",
-     "{aggregator} declined (reaches no target: {cut_off}, had begun: "
-     "{begun})"},
-    {"forward_given_back", "given back to {to}, which asks another daemon"},
+    {"forward_declined", "{aggregator} declined ({why}, had begun: {begun})"},
+    {"forward_given_back",
+     "given back to {to}, which asks another daemon: {why}"},
     {"forward_lost", "{aggregator} was lost after {ms} ms: {why}"},
     {"forward_not_begun", "accepted, but never started by its daemon"},
     {"attempt_repeated",
--- a/liblavenderrail/aggregators.c
+++ b/liblavenderrail/aggregators.c
@@ -21,9 +21,6 @@
  * is for the other daemons, which gather a query themselves when no aggregator
  * accepts it. */
 #define AGGREGATOR_LIMIT_RATIO 0.75
-/* An aggregator that did not accept a query gets none for this long: probing
- * detects a dead one in about the same time. */
-#define FAILURE_BACKOFF (2 * LR_SECOND)
 /* Weight of the newest sample in the smoothed delay. */
 #define DELAY_WEIGHT 0.3
 /* Time constant with which a smoothed delay decays, so that an aggregator that
@@ -49,7 +46,6 @@
 typedef struct {
     char *address;
     double speed;
-    LrTime backoff_until;
     double accept_delay;
     LrTime accept_delay_at;
 } Aggregator;
@@ -62,6 +58,7 @@
 struct LrAggregators {
     LrStr self;
     LrStr zone;
+    const LrPeerAvailability *availability;
     LrRandom *random;
     LrLog *log;
     GPtrArray *in_zone;
@@ -83,11 +80,14 @@
 }
 
 LrAggregators *
-LrAggregators_New(LrStr self, LrStr zone, LrRandom *random, LrLog *log)
+LrAggregators_New(LrStr self, LrStr zone,
+                  const LrPeerAvailability *availability, LrRandom *random,
+                  LrLog *log)
 {
     LrAggregators *aggregators = g_new0(LrAggregators, 1);
     aggregators->self = (LrStr){.ptr = LrStr_Dup(self), .len = self.len};
     aggregators->zone = (LrStr){.ptr = LrStr_Dup(zone), .len = zone.len};
+    aggregators->availability = availability;
     aggregators->random = random;
     aggregators->log = log;
     aggregators->in_zone = g_ptr_array_new_with_free_func(free_aggregator);
@@ -246,21 +246,34 @@
     return aggregator->accept_delay * exp(-age / DELAY_DECAY_NS);
 }
 
-/* Draws an aggregator that is not in backoff, with probability by speed; NULL
- * if there is none. */
+static bool
+takes_query(const LrAggregators *aggregators, const Aggregator *aggregator,
+            const LrDeclinedBy *declined_by, LrTime now)
+{
+    LrStr address = LrStr_FromC(aggregator->address);
+    return !LrDeclinedBy_Contains(declined_by, address) &&
+           LrPeerAvailability_Get(aggregators->availability, address, now) ==
+               LR_PEER_AVAILABLE;
+}
+
+/* Draws an aggregator that takes the query, with probability by speed; NULL if
+ * there is none. */
 static Aggregator *
-draw_by_speed(const LrAggregators *aggregators, LrTime now)
+draw_by_speed(const LrAggregators *aggregators,
+              const LrDeclinedBy *declined_by, LrTime now)
 {
     double total = 0;
     for (guint i = 0; i < aggregators->in_zone->len; i++) {
         const Aggregator *aggregator = aggregators->in_zone->pdata[i];
-        total += aggregator->backoff_until > now ? 0 : aggregator->speed;
+        total += takes_query(aggregators, aggregator, declined_by, now)
+                     ? aggregator->speed
+                     : 0;
     }
     double remaining = LrRandom_Uniform(aggregators->random) * total;
     Aggregator *last = NULL;
     for (guint i = 0; i < aggregators->in_zone->len && remaining >= 0; i++) {
         Aggregator *aggregator = aggregators->in_zone->pdata[i];
-        if (aggregator->backoff_until <= now) {
+        if (takes_query(aggregators, aggregator, declined_by, now)) {
             last = aggregator;
             remaining -= aggregator->speed;
         }
@@ -269,13 +282,14 @@
 }
 
 LrStr
-LrAggregators_Pick(LrAggregators *aggregators, LrTime now)
+LrAggregators_Pick(LrAggregators *aggregators, const LrDeclinedBy *declined_by,
+                   LrTime now)
 {
     if (aggregators->includes_self) {
         return LrStr_FromC("");
     }
-    Aggregator *first = draw_by_speed(aggregators, now);
-    Aggregator *second = draw_by_speed(aggregators, now);
+    Aggregator *first = draw_by_speed(aggregators, declined_by, now);
+    Aggregator *second = draw_by_speed(aggregators, declined_by, now);
     if (!first) {
         return LrStr_FromC("");
     }
@@ -300,15 +314,6 @@
     aggregator->accept_delay_at = now;
 }
 
-void
-LrAggregators_OnFailed(LrAggregators *aggregators, LrStr address, LrTime now)
-{
-    Aggregator *aggregator = find(aggregators, address);
-    if (aggregator) {
-        aggregator->backoff_until = now + FAILURE_BACKOFF;
-    }
-}
-
 bool
 LrAggregators_IncludesSelf(const LrAggregators *aggregators)
 {
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -507,9 +507,12 @@
     start_timers(daemon);
     daemon->leaving = LrLeavingTargets_New();
     daemon->stated_leaving = LrLeavingTargets_New();
+    daemon->peer_availability = LrPeerAvailability_New();
     daemon->aggregators = LrAggregators_New(
-        settings->name, settings->zone, LrEngine_Random(daemon->engine), log);
+        settings->name, settings->zone, daemon->peer_availability,
+        LrEngine_Random(daemon->engine), log);
     daemon->delegates = LrDelegates_New(settings->name, settings->zone,
+                                        daemon->peer_availability,
                                         LrEngine_Random(daemon->engine));
     daemon->relay = LrRelay_New(daemon);
     daemon->handoff = LrHandoff_New(daemon);
@@ -554,6 +557,7 @@
     LrHandoff_Free(daemon->handoff);
     LrAggregators_Free(daemon->aggregators);
     LrDelegates_Free(daemon->delegates);
+    LrPeerAvailability_Free(daemon->peer_availability);
     LrActiveCatalogue_Free(daemon->active_catalogue);
     g_free(daemon);
 }
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -60,6 +60,7 @@
     LrMembers *members;
     LrAggregators *aggregators;
     LrDelegates *delegates;
+    LrPeerAvailability *peer_availability;
     LrLeavingTargets *leaving;
     /* Targets that said themselves that they are leaving. */
     LrLeavingTargets *stated_leaving;
--- a/liblavenderrail/delegates.h
+++ b/liblavenderrail/delegates.h
@@ -3,7 +3,7 @@
 #ifndef LAVENDERRAIL_DELEGATES_H
 #define LAVENDERRAIL_DELEGATES_H
 
-#include "lavenderrail.h"
+#include "peer_availability.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -11,22 +11,21 @@
 
 typedef struct LrDelegates LrDelegates;
 
-/* self and zone are copied; random is borrowed. */
-LrDelegates *LrDelegates_New(LrStr self, LrStr zone, LrRandom *random);
+/* self and zone are copied; availability and random are borrowed. */
+LrDelegates *LrDelegates_New(LrStr self, LrStr zone,
+                             const LrPeerAvailability *availability,
+                             LrRandom *random);
 void LrDelegates_Free(LrDelegates *delegates);
 /* Sets the daemons that are alive, this one included; the specs are copied. */
 void LrDelegates_SetDaemons(LrDelegates *delegates, const LrPeerSpec *daemons,
                             size_t n_daemons);
 /* Peer address of the daemon that is to run a request, for a gather an
- * aggregator if one is left; borrowed until the next call of
- * LrDelegates_SetDaemons, empty if there is none. */
-LrStr LrDelegates_Pick(LrDelegates *delegates, bool gathers, LrTime now);
+ * aggregator if one is left, and none of those that declined the request;
+ * borrowed until the next call of LrDelegates_SetDaemons, empty if there is
+ * none. */
+LrStr LrDelegates_Pick(LrDelegates *delegates, bool gathers,
+                       const LrDeclinedBy *declined_by, LrTime now);
 size_t LrDelegates_Count(const LrDelegates *delegates);
-/* The daemon did not accept a request, or the link to it was lost: it gets
- * none for a while. */
-void LrDelegates_OnFailed(LrDelegates *delegates, LrStr address, LrTime now);
-/* The daemon declined a request because it reaches no target itself. */
-void LrDelegates_OnCutOff(LrDelegates *delegates, LrStr address, LrTime now);
 
 #ifdef __cplusplus
 }
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -626,11 +626,13 @@
             LrPeerSpec peer = {.name = member->name,
                                .zone = member->zone,
                                .address = member->address,
-                               .speed = member->speed};
+                               .speed = member->speed,
+                               .incarnation = member->incarnation};
             g_array_append_val(alive, peer);
         }
     }
     LrPeerSpec *rows = (LrPeerSpec *)(void *)alive->data;
+    LrPeerAvailability_SetDaemons(daemon->peer_availability, rows, alive->len);
     LrAggregators_SetDaemons(daemon->aggregators, now, rows, alive->len);
     LrDelegates_SetDaemons(daemon->delegates, rows, alive->len);
     g_array_unref(alive);
@@ -791,12 +793,15 @@
         const LrMember *member = LrMembers_Get(daemon->members, i);
         json_array_append_new(
             list,
-            json_pack("{s:s%, s:s%, s:s%, s:s, s:I, s:I, s:b, s:I}", "name",
-                      member->name.ptr, member->name.len, "zone",
+            json_pack("{s:s%, s:s%, s:s%, s:s, s:s, s:I, s:I, s:b, s:I}",
+                      "name", member->name.ptr, member->name.len, "zone",
                       member->zone.ptr, member->zone.len, "address",
                       member->address.ptr, member->address.len, "state",
-                      LrMemberState_Names[member->state], "incarnation",
-                      (json_int_t)member->incarnation, "serial",
+                      LrMemberState_Names[member->state], "forwarding",
+                      LrPeerState_Names[LrPeerAvailability_Get(
+                          daemon->peer_availability, member->address,
+                          LrClock_Now())],
+                      "incarnation", (json_int_t)member->incarnation, "serial",
                       (json_int_t)member->serial, "listed", member->listed,
                       "since_ms",
                       (json_int_t)((LrClock_Now() - member->state_since) /
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -14,6 +14,7 @@
 #include "aggregators.h"
 #include "gateway_private.h"
 #include "active_catalogue.h"
+#include "peer_availability.h"
 #include "zone_detector.h"
 
 /* Deducted from the time that an aggregator has for a query, to allow for the
@@ -175,13 +176,6 @@
     LrRoutedRequest_Unref(routed);
 }
 
-static void
-on_failed(LrDaemon *daemon, LrStr address, LrTime now)
-{
-    LrAggregators_OnFailed(daemon->aggregators, address, now);
-    LrDelegates_OnFailed(daemon->delegates, address, now);
-}
-
 /* Marks the aggregator as failed. A started request ends with an error; any
  * other is forwarded again or run here. */
 static void
@@ -189,7 +183,9 @@
 {
     LrForward *forward = forwarded->forward;
     log_lost(forwarded, why);
-    on_failed(forward->daemon, LrStr_FromC(forwarded->address), LrClock_Now());
+    LrPeerAvailability_OnFailed(forward->daemon->peer_availability,
+                                LrStr_FromC(forwarded->address),
+                                LrClock_Now());
     if (forwarded->started) {
         fail_request(forward, forwarded, LR_STATUS_BAD_GATEWAY);
     }
@@ -280,7 +276,8 @@
         routed->n_forwards >= MAX_FORWARDS) {
         return LrStr_FromC("");
     }
-    return LrAggregators_Pick(forward->daemon->aggregators, now);
+    return LrAggregators_Pick(forward->daemon->aggregators,
+                              routed->declined_by, now);
 }
 
 static LrStr
@@ -292,7 +289,7 @@
         return LrStr_FromC("");
     }
     return LrDelegates_Pick(forward->daemon->delegates, routed->route->scatter,
-                            now);
+                            routed->declined_by, now);
 }
 
 /* Offers the request to the daemon at that address; false if it can't be
@@ -316,7 +313,8 @@
     routed->n_forwards++;
     g_hash_table_insert(forward->forwarded, &forwarded->id, forwarded);
     if (!send_offer(forward, forwarded)) {
-        on_failed(forward->daemon, address, now);
+        LrPeerAvailability_OnFailed(forward->daemon->peer_availability,
+                                    address, now);
         LrRoutedRequest_Unref(end_forward(forwarded));
         return false;
     }
@@ -335,12 +333,14 @@
 static bool
 delegate(LrForward *forward, LrRoutedRequest *routed)
 {
-    LrStr address = pick_delegate(forward, routed, LrClock_Now());
-    if (address.len == 0 || !offer_request(forward, routed, address, true)) {
-        return false;
+    LrStr address;
+    while ((address = pick_delegate(forward, routed, LrClock_Now())).len > 0) {
+        if (offer_request(forward, routed, address, true)) {
+            LrCounters_Add(forward->daemon->counters, LR_COUNT_DELEGATED, 1);
+            return true;
+        }
     }
-    LrCounters_Add(forward->daemon->counters, LR_COUNT_DELEGATED, 1);
-    return true;
+    return false;
 }
 
 bool
@@ -380,6 +380,16 @@
                      LrRoutedRequest_Due(forwarded->routed));
 }
 
+/* Builds that state no reason tell only whether the daemon takes no request at
+ * all. */
+static LrDeclineReason
+decline_reason(const LrForwardAnswerMsg *message)
+{
+    return message->why == LR_DECLINE_UNSTATED && message->cut_off
+               ? LR_DECLINE_CUT_OFF
+               : message->why;
+}
+
 static void
 on_declined(LrForward *forward, ForwardedRequest *forwarded,
             const LrForwardAnswerMsg *message)
@@ -387,17 +397,20 @@
     LrDaemon *daemon = forward->daemon;
     LrTime now = LrClock_Now();
     LrStr address = LrStr_FromC(forwarded->address);
+    LrDeclineReason why = decline_reason(message);
     LrCounters_Add(daemon->counters, LR_COUNT_FORWARD_DECLINED, 1);
     LR_LOG(daemon->log, LOG_INFO, "forward_declined",
            LrLog_CStr("id", forwarded->routed->id),
            LrLog_Str("aggregator", address),
-           LrLog_Int("cut_off", message->cut_off),
+           LrLog_CStr("why", LrDeclineReason_Names[why]),
            LrLog_Int("begun", forwarded->started));
-    if (message->cut_off) {
-        LrAggregators_OnFailed(daemon->aggregators, address, now);
-        LrDelegates_OnCutOff(daemon->delegates, address, now);
-    }
+    LrPeerAvailability_OnDeclined(daemon->peer_availability, address, why,
+                                  now);
     LrRoutedRequest *routed = forwarded->routed;
+    if (!routed->declined_by) {
+        routed->declined_by = LrDeclinedBy_New();
+    }
+    LrDeclinedBy_Add(routed->declined_by, address);
     routed->n_given_back += forwarded->started;
     routed->n_spent = MAX(routed->n_spent, (unsigned)message->n_spent);
     LrFleet_PullIfNewer(daemon, address, message->revision, now);
@@ -483,39 +496,44 @@
                            reply_to.ptr, id);
 }
 
+/* Why this daemon takes no request of another one now. */
+static LrDeclineReason
+own_decline_reason(const LrForward *forward)
+{
+    if (forward->daemon->stopping) {
+        return LR_DECLINE_STOPPING;
+    }
+    return LrGateway_IsCutOff(forward->gateway) ? LR_DECLINE_CUT_OFF
+                                                : LR_DECLINE_UNSTATED;
+}
+
 /* Route of an offer; NULL, with the reason in why, when it is declined. */
 static LrRoute *
 find_route(const LrForward *forward, const LrForwardMsg *message,
-           const char **why)
+           LrDeclineReason *why)
 {
     LrView *view = LrEngine_View(forward->daemon->engine);
     LrRoutes *routes = view ? LrRouting_Routes(view->catalogue) : NULL;
     LrRoute *route =
         routes ? LrRoutes_FindByName(routes, message->route) : NULL;
-    if (forward->daemon->stopping) {
-        *why = "stopping";
-        return NULL;
-    }
-    if (LrGateway_IsCutOff(forward->gateway)) {
-        *why = "cut off";
+    *why = own_decline_reason(forward);
+    if (*why != LR_DECLINE_UNSTATED) {
         return NULL;
     }
+    *why = LR_DECLINE_ROUTE;
     if (!route) {
-        *why = "no such route";
         return NULL;
     }
     /* Both daemons must have the same version of the route: an answer never
      * mixes two configurations, and to callers no host may seem to return to
      * an older one. */
     g_autofree char *digest = digest_text(routes, route);
-    *why =
-        LrStr_EqualC(message->route_digest, digest) ? NULL : "route differs";
-    return *why ? NULL : route;
+    return LrStr_EqualC(message->route_digest, digest) ? route : NULL;
 }
 
 static void
 send_declined(const LrForward *forward, LrStr address, int64_t id,
-              LrStr request_id, unsigned n_spent)
+              LrStr request_id, LrDeclineReason why, unsigned n_spent)
 {
     LrForwardAnswerMsg answer = {
         .id = id,
@@ -523,20 +541,22 @@
         .step = LR_FORWARD_DECLINED,
         .revision =
             LrActiveCatalogue_Revision(forward->daemon->active_catalogue),
-        .cut_off = LrGateway_IsCutOff(forward->gateway),
+        .cut_off = own_decline_reason(forward) != LR_DECLINE_UNSTATED,
         .n_spent = n_spent,
+        .why = why,
     };
     send_answer(forward, address, &answer);
 }
 
 static void
-decline(LrForward *forward, const LrForwardMsg *message, const char *why)
+decline(LrForward *forward, const LrForwardMsg *message, LrDeclineReason why)
 {
     LrDaemon *daemon = forward->daemon;
     LR_LOG(daemon->log, LOG_INFO, "forward_refused",
-           LrLog_Str("id", message->request_id), LrLog_CStr("why", why));
+           LrLog_Str("id", message->request_id),
+           LrLog_CStr("why", LrDeclineReason_Names[why]));
     send_declined(forward, message->reply_to, message->id, message->request_id,
-                  0);
+                  why, 0);
     LrFleet_PullIfNewer(daemon, message->reply_to, message->revision,
                         LrClock_Now());
 }
@@ -547,10 +567,15 @@
 give_back(LrForward *forward, LrRoutedRequest *routed)
 {
     LrStr address = LrStr_FromC(routed->reply_to);
+    LrDeclineReason why = own_decline_reason(forward);
+    if (why == LR_DECLINE_UNSTATED) {
+        why = LR_DECLINE_NO_TARGET;
+    }
     LR_LOG(forward->daemon->log, LOG_INFO, "forward_given_back",
-           LrLog_CStr("id", routed->id), LrLog_Str("to", address));
+           LrLog_CStr("id", routed->id), LrLog_Str("to", address),
+           LrLog_CStr("why", LrDeclineReason_Names[why]));
     send_declined(forward, address, routed->remote_id, LrStr_FromC(routed->id),
-                  routed->n_spent);
+                  why, routed->n_spent);
     g_autofree char *key = accepted_key(address, routed->remote_id);
     g_hash_table_remove(forward->accepted, key);
     LrRoutedRequest_Unref(routed);
@@ -591,7 +616,7 @@
 void
 LrForward_OnRequest(LrForward *forward, const LrForwardMsg *message)
 {
-    const char *why = NULL;
+    LrDeclineReason why;
     const LrRoute *route = find_route(forward, message, &why);
     if (!route) {
         decline(forward, message, why);
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -29,6 +29,7 @@
     g_free(routed->id);
     g_free(routed->request_target);
     g_free(routed->reply_to);
+    g_clear_pointer(&routed->declined_by, g_ptr_array_unref);
     g_string_free(routed->head, TRUE);
     if (routed->body) {
         g_bytes_unref(routed->body);
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -5,6 +5,7 @@
 #include "caller_server.h"
 #include "forward.h"
 #include "gateway.h"
+#include "peer_availability.h"
 #include "routing.h"
 #include "target_reach.h"
 #include "upstream.h"
@@ -59,6 +60,8 @@
     int64_t forward_id;
     /* Number of daemons that it was offered to so far. */
     unsigned n_forwards;
+    /* Those that declined it or gave it back; NULL for none. */
+    LrDeclinedBy *declined_by;
     /* How many of them began it and gave it back. */
     unsigned n_given_back;
     /* Attempts of each part that may have run, at the order of this daemon or
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -94,6 +94,15 @@
     NULL,
 };
 
+const char *const LrDeclineReason_Names[] = {
+    "unstated",
+    "stopping",
+    "cut_off",
+    "route",
+    "no_target",
+    NULL,
+};
+
 const char *const LrForwardCommand_Names[] = {
     "start",
     "cancel",
@@ -1880,7 +1889,7 @@
     {.name = "cut_off",
      .kind = LR_FIELD_BOOL,
      .offset = offsetof(LrForwardAnswerMsg, cut_off),
-     .hint = "whether the sender reaches no target",
+     .hint = "whether the sender takes no request for now, because it reaches no target or is stopping",
      .fallback = 0},
     {.name = "n_spent",
      .kind = LR_FIELD_INT,
@@ -1889,6 +1898,12 @@
      .min = 0,
      .max = 1000,
      .fallback = 0},
+    {.name = "why",
+     .kind = LR_FIELD_ENUM,
+     .offset = offsetof(LrForwardAnswerMsg, why),
+     .hint = "why the request is declined or given back; unstated by builds before it was added",
+     .choices = LrDeclineReason_Names,
+     .fallback = 0},
 };
 
 const LrRecordDescriptor LrForwardAnswerMsg_Descriptor = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -113,6 +113,17 @@
 } LrForwardStatus;
 extern const char *const LrForwardStatus_Names[];
 
+/* Why a daemon declines a request that was forwarded to it. */
+typedef enum {
+    LR_DECLINE_UNSTATED,
+    LR_DECLINE_STOPPING,
+    LR_DECLINE_CUT_OFF,
+    LR_DECLINE_ROUTE,
+    LR_DECLINE_NO_TARGET,
+    LR_DECLINE_COUNT
+} LrDeclineReason;
+extern const char *const LrDeclineReason_Names[];
+
 /* Command of the forwarding daemon on a query that the aggregator accepted. */
 typedef enum {
     LR_FORWARD_COMMAND_START,
@@ -799,10 +810,12 @@
     bool isolated;
     /* catalogue revision of an aggregator that declines */
     int64_t revision;
-    /* whether the sender reaches no target */
+    /* whether the sender takes no request for now, because it reaches no target or is stopping */
     bool cut_off;
     /* of a request that is given back: attempts of each part that may have run at targets, those that its sender knew of included */
     int64_t n_spent;
+    /* why the request is declined or given back; unstated by builds before it was added */
+    LrDeclineReason why;
 } LrForwardAnswerMsg;
 extern const LrRecordDescriptor LrForwardAnswerMsg_Descriptor;
 #define LR_MSG_FORWARD_ANSWER 16
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -807,6 +807,8 @@
     double speed;
     /* Gathers for the other daemons of its zone. */
     bool aggregates;
+    /* Of its process, as membership tells it. */
+    int64_t incarnation;
 } LrPeerSpec;
 
 /* Number of daemons that may connect to a target that accepts this many
--- a/tests/test_aggregators.cc
+++ b/tests/test_aggregators.cc
@@ -25,17 +25,21 @@
                                (int)i < n_fast ? 0.5 : 0.12});
         }
         random = LrRandom_New(7);
-        aggregators = LrAggregators_New(LrStr_FromC(self.c_str()),
-                                        LrStr_FromC("z0"), random, nullptr);
+        availability = LrPeerAvailability_New();
+        aggregators =
+            LrAggregators_New(LrStr_FromC(self.c_str()), LrStr_FromC("z0"),
+                              availability, random, nullptr);
     }
     ~Zone()
     {
         LrAggregators_Free(aggregators);
+        LrPeerAvailability_Free(availability);
         LrRandom_Free(random);
     }
     void
     set_known_daemons(size_t n)
     {
+        LrPeerAvailability_SetDaemons(availability, daemons.data(), n);
         LrAggregators_SetDaemons(aggregators, now, daemons.data(), n);
     }
     // Makes all daemons known for long enough that the zone counts as settled.
@@ -47,9 +51,9 @@
         set_known_daemons(daemons.size());
     }
     std::string
-    pick()
+    pick(const LrDeclinedBy *declined_by = nullptr)
     {
-        LrStr address = LrAggregators_Pick(aggregators, now);
+        LrStr address = LrAggregators_Pick(aggregators, declined_by, now);
         return {address.ptr, address.len};
     }
     std::map<std::string, int>
@@ -66,6 +70,7 @@
     std::vector<std::string> addresses;
     std::vector<LrPeerSpec> daemons;
     LrRandom *random;
+    LrPeerAvailability *availability;
     LrAggregators *aggregators;
     LrTime now = 100 * LR_SECOND;
 };
@@ -120,13 +125,13 @@
 {
     Zone zone(3, 55, "d20");
     zone.settle();
-    LrAggregators_OnFailed(zone.aggregators, LrStr_FromC("10.0.0.0:1"),
-                           zone.now);
+    LrPeerAvailability_OnFailed(zone.availability, LrStr_FromC("10.0.0.0:1"),
+                                zone.now);
     EXPECT_EQ(zone.picks(500).count("10.0.0.0:1"), 0U);
-    LrAggregators_OnFailed(zone.aggregators, LrStr_FromC("10.0.0.1:1"),
-                           zone.now);
-    LrAggregators_OnFailed(zone.aggregators, LrStr_FromC("10.0.0.2:1"),
-                           zone.now);
+    LrPeerAvailability_OnFailed(zone.availability, LrStr_FromC("10.0.0.1:1"),
+                                zone.now);
+    LrPeerAvailability_OnFailed(zone.availability, LrStr_FromC("10.0.0.2:1"),
+                                zone.now);
     EXPECT_EQ(zone.pick(), "") << "none left: the daemon gathers itself";
     zone.now += 3 * LR_SECOND;
     EXPECT_EQ(zone.picks(500).size(), 3U);
@@ -220,3 +225,16 @@
     int few = first_attempts_at_slow(true);
     EXPECT_LE(few, each / 2) << each;
 }
+
+TEST(Aggregators, AQueryIsNotOfferedAgainToThoseThatDeclinedIt)
+{
+    Zone zone(3, 55, "d20");
+    zone.settle();
+    LrDeclinedBy *declined_by = LrDeclinedBy_New();
+    LrDeclinedBy_Add(declined_by, LrStr_FromC("10.0.0.0:1"));
+    LrDeclinedBy_Add(declined_by, LrStr_FromC("10.0.0.1:1"));
+    for (int i = 0; i < 100; i++) {
+        EXPECT_EQ(zone.pick(declined_by), "10.0.0.2:1");
+    }
+    g_ptr_array_unref(declined_by);
+}
--- a/tests/test_delegates.cc
+++ b/tests/test_delegates.cc
@@ -12,15 +12,16 @@
 class DelegatesTest : public testing::Test {
   protected:
     DelegatesTest()
-        : random(LrRandom_New(5)),
-          delegates(
-              LrDelegates_New(LrStr_FromC("self"), LrStr_FromC("z0"), random))
+        : random(LrRandom_New(5)), availability(LrPeerAvailability_New()),
+          delegates(LrDelegates_New(LrStr_FromC("self"), LrStr_FromC("z0"),
+                                    availability, random))
     {
         add("self", "z0", 1, true);
     }
     ~DelegatesTest() override
     {
         LrDelegates_Free(delegates);
+        LrPeerAvailability_Free(availability);
         LrRandom_Free(random);
     }
     void
@@ -33,6 +34,8 @@
         spec.speed = speed;
         spec.aggregates = aggregates;
         daemons.push_back(spec);
+        LrPeerAvailability_SetDaemons(availability, daemons.data(),
+                                      daemons.size());
         LrDelegates_SetDaemons(delegates, daemons.data(), daemons.size());
     }
     // How often each daemon is picked.
@@ -41,7 +44,8 @@
     {
         std::map<std::string, int> counts;
         for (int i = 0; i < times; i++) {
-            LrStr address = LrDelegates_Pick(delegates, gathers, now);
+            LrStr address =
+                LrDelegates_Pick(delegates, gathers, declined_by, now);
             counts[std::string(address.ptr, address.len)]++;
         }
         return counts;
@@ -49,17 +53,20 @@
     void
     cut_off(const char *name)
     {
-        LrDelegates_OnCutOff(delegates, LrStr_FromC(name), now);
+        LrPeerAvailability_OnDeclined(availability, LrStr_FromC(name),
+                                      LR_DECLINE_CUT_OFF, now);
     }
     void
     fail(const char *name)
     {
-        LrDelegates_OnFailed(delegates, LrStr_FromC(name), now);
+        LrPeerAvailability_OnFailed(availability, LrStr_FromC(name), now);
     }
 
     LrTime now = 100 * LR_SECOND;
     LrRandom *random;
+    LrPeerAvailability *availability;
     LrDelegates *delegates;
+    LrDeclinedBy *declined_by = nullptr;
     std::vector<LrPeerSpec> daemons;
 };
 
@@ -140,3 +147,22 @@
     add("c", "z0");
     EXPECT_EQ(pick()["a"], 0);
 }
+
+// A daemon that declined a request gets it again only if it did not respond.
+TEST_F(DelegatesTest, ARequestIsOfferedToNoneOfThoseThatDeclinedIt)
+{
+    add("near", "z0");
+    add("far1", "z1");
+    add("far2", "z2");
+    declined_by = LrDeclinedBy_New();
+    LrDeclinedBy_Add(declined_by, LrStr_FromC("near"));
+    auto counts = pick();
+    EXPECT_EQ(counts["near"], 0);
+    EXPECT_EQ(counts["far1"] + counts["far2"], 400);
+    LrDeclinedBy_Add(declined_by, LrStr_FromC("far1"));
+    fail("far2");
+    EXPECT_EQ(pick()["far2"], 400);
+    LrDeclinedBy_Add(declined_by, LrStr_FromC("far2"));
+    EXPECT_EQ(pick()[""], 400);
+    g_ptr_array_unref(declined_by);
+}
--- a/tests/test_unreachable_targets.cc
+++ b/tests/test_unreachable_targets.cc
@@ -234,3 +234,15 @@
     EXPECT_TRUE(
         eventually([&] { return cluster.fleet.is_leaving(1, ran[0]); }));
 }
+
+// The other daemon of its zone, which has most of the zone's CPU, declines
+// while it stops: requests go to other zones instead of being refused.
+TEST(UnreachableTargetsOfOneHost, RequestsAreServedWhileTheZonesOtherHostStops)
+{
+    Cluster cluster(BASE, 6);
+    cluster.cut(4, Cut::RESET);
+    EXPECT_EQ(cluster.served(4, "/c/", "before"), N_TRIES);
+    cluster.fleet.daemons[1]->signal(SIGTERM);
+    EXPECT_EQ(cluster.served(4, "/c/", "stop"), N_TRIES);
+    EXPECT_EQ(cluster.served(4, "/s/", "gather"), N_TRIES);
+}
