targets: what a target said outlives its use by the catalogue

Cause: pause, rate limit and misdirection are fields of the target, which was freed with the last view that named it; the new one knew nothing.

Change: targets remembers a target that said something of itself until that has expired, and a target that comes back with the same identity goes on with it (target_returned, targets_remembered in /state). On the same paths: what peers tell reaches remembered targets, and a statement of leaving is kept for targets that are not known yet; marks of the host list hold for targets that the catalogue names later; statements in responses to checks are heard.

--- a/liblavenderrail/contract.h
+++ b/liblavenderrail/contract.h
@@ -41,6 +41,10 @@
      * message. */
     void (*classify_response)(const LrHttpMessage *response, bool part,
                               LrReply *reply);
+    /* Sets in the reply what the target states of itself in a response to a
+     * check. */
+    void (*read_check_statements)(const LrHttpMessage *response,
+                                  LrReply *reply);
     /* Appends status line and headers of an answer merged from parts. */
     void (*write_merged_head)(const LrAnswer *answer, GString *head);
     /* Appends status line and headers of a response that the daemon produces
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -298,6 +298,7 @@
 {
     LrDaemon *daemon = timer->data;
     on_timer(loop, timer, events);
+    LrTargets_ForgetExpired(LrEngine_Targets(daemon->engine), LrClock_Now());
     if (daemon->gateway) {
         LrTargets_EvaluateZones(LrEngine_Targets(daemon->engine),
                                 LrClock_Now());
@@ -319,7 +320,7 @@
         LrGateway_SetCatalogue(daemon->gateway, catalogue);
     }
     LrEngine_SetCatalogue(daemon->engine, LrClock_Now(), catalogue);
-    LrFleet_MarkRememberedLeaving(daemon);
+    LrFleet_MarkKnownLeaving(daemon);
     LrMembers_SetCatalogue(daemon->members, LrValueSet_Revision(store),
                            LrValueSet_Digest(store));
     update_readiness(daemon);
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -162,9 +162,9 @@
 void LrFleet_ProbeZone(LrDaemon *daemon);
 /* Tells peers what was learnt of requests that may crash targets. */
 void LrFleet_SendCrashReports(LrDaemon *daemon);
-/* Marks targets of a new catalogue that had said before that they are
- * leaving. */
-void LrFleet_MarkRememberedLeaving(LrDaemon *daemon);
+/* Marks targets of a new catalogue that are known to be leaving, by their own
+ * word or by the host list. */
+void LrFleet_MarkKnownLeaving(LrDaemon *daemon);
 /* Re-evaluates whether this daemon reads the configuration service. */
 void LrFleet_UpdateReaderRole(LrDaemon *daemon, LrTime now);
 struct json_t *LrFleet_Dump(const LrDaemon *daemon);
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -119,7 +119,7 @@
     size_t relayed = view ? LrView_RelayedShards(view) : 0;
     json_t *json = json_pack(
         "{s:o, s:o, s:I, s:I, s:b, s:b, s:I, s:I, s:o, s:o, s:o, s:o, s:o,"
-        " s:o, s:o, s:I, s:I}",
+        " s:o, s:o, s:I, s:I, s:I}",
         "name", str_json(daemon->settings.name), "zone",
         str_json(daemon->settings.zone), "incarnation",
         (json_int_t)daemon->incarnation, "uptime_ms",
@@ -133,7 +133,9 @@
         targets, "quarantine", quarantined, "members", LrFleet_Dump(daemon),
         "counters", dump_counters(daemon->counters), "relayed_shards",
         (json_int_t)relayed, "peer_links",
-        (json_int_t)LrPeers_Count(daemon->peers));
+        (json_int_t)LrPeers_Count(daemon->peers), "targets_remembered",
+        (json_int_t)LrTargets_CountRemembered(
+            LrEngine_Targets(daemon->engine)));
     if (daemon->gateway) {
         json_object_set_new(json, "routed", LrGateway_Dump(daemon->gateway));
     }
--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -294,23 +294,6 @@
     return true;
 }
 
-/* Applies what the target states of itself in any reply. */
-static void
-apply_target_statements(LrEngine *engine, const LrAttempt *attempt,
-                        const LrReply *reply, LrTime now)
-{
-    LrTarget *target = attempt->target;
-    if (reply->draining) {
-        LrTargets_MarkLeaving(engine->targets, target, LR_LEAVING_BY_REPLY,
-                              now);
-    }
-    if (reply->pause != 0) {
-        LrTargets_Pause(engine->targets, target, reply->pause, now);
-    }
-    LrLimitedTargets_OnReport(LrTargets_Limited(engine->targets), target,
-                              &reply->rate_report, attempt->sent_at, now);
-}
-
 static void
 update_target(LrEngine *engine, const LrAttempt *attempt, const LrReply *reply,
               LrTime now)
@@ -319,7 +302,8 @@
     LrQuery *query = attempt->part->query;
     LrTime latency = now - attempt->sent_at;
     LrTime median_latency = LrDispatch_MedianLatency(query);
-    apply_target_statements(engine, attempt, reply, now);
+    LrTargets_ApplyStatements(engine->targets, target, reply, attempt->sent_at,
+                              now);
     LrTargets_SetVersions(engine->targets, target, reply->oldest_version,
                           reply->newest_version);
     switch (reply->status) {
@@ -367,7 +351,8 @@
 {
     LrTarget *target = attempt->target;
     LrTime latency = now - attempt->sent_at;
-    apply_target_statements(engine, attempt, reply, now);
+    LrTargets_ApplyStatements(engine->targets, target, reply, attempt->sent_at,
+                              now);
     if (reply->status == LR_REPLY_OK) {
         LrTargets_OnSuccess(engine->targets, target, latency, now,
                             &reply->load, attempt->median_latency);
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -25,8 +25,8 @@
 /* An unanswered delta request is repeated after this time. */
 #define DELTA_REQUEST_TIMEOUT (2 * LR_SECOND)
 
-/* A target that said that it is leaving is remembered for this long after the
- * catalogue has dropped it: its entry may come back. */
+/* Peers are told of a target that said that it is leaving for this long after
+ * the catalogue has dropped it: its entry may come back. */
 #define LEAVING_MEMORY (60 * LR_SECOND)
 
 static const LrRecordDescriptor *const MESSAGE_SPECS[] = {
@@ -291,8 +291,10 @@
     for (size_t i = 0; i < message->n_leaving; i++) {
         const LrLeavingTargetMsg *row = &message->leaving[i];
         LrTime left = MIN(row->left_ms * LR_MILLISECOND, LR_LEAVING_TTL);
-        LrTarget *target = LrTargets_Lookup(targets, row->address);
+        LrTarget *target = LrTargets_LookupRemembered(targets, row->address);
         if (row->by_target) {
+            LrLeavingTargets_Add(daemon->stated_leaving, row->address,
+                                 now + left);
             if (target) {
                 LrTargets_MarkLeavingUntil(
                     targets, target, LR_LEAVING_BY_REPLY, now + left, now);
@@ -313,7 +315,7 @@
     LrTargets *targets = LrEngine_Targets(daemon->engine);
     for (size_t i = 0; i < message->n_limits; i++) {
         const LrTargetLimitMsg *row = &message->limits[i];
-        LrTarget *target = LrTargets_Lookup(targets, row->target);
+        LrTarget *target = LrTargets_LookupRemembered(targets, row->target);
         if (target) {
             LrLimitedTargets_OnPeerReport(LrTargets_Limited(targets), target,
                                           row, now);
@@ -679,23 +681,32 @@
 }
 
 static void
-mark_if_remembered(void *data, LrTarget *target)
+mark_until(LrDaemon *daemon, LrTarget *target, LrLeavingSource source,
+           LrTime until)
 {
-    LrDaemon *daemon = data;
     LrTime now = LrClock_Now();
-    LrTime until =
-        LrLeavingTargets_ExpiryOf(daemon->stated_leaving, target->key);
-    if (until > now && !LrTargets_IsLeaving(target, now)) {
+    bool known = LrTargets_IsLeaving(target, now) &&
+                 (target->leaving_sources & (unsigned)source);
+    if (until > now && !known) {
         LrTargets_MarkLeavingUntil(LrEngine_Targets(daemon->engine), target,
-                                   LR_LEAVING_BY_REPLY, until, now);
+                                   source, until, now);
     }
 }
 
+static void
+mark_if_known(void *data, LrTarget *target)
+{
+    LrDaemon *daemon = data;
+    mark_until(daemon, target, LR_LEAVING_BY_REPLY,
+               LrLeavingTargets_ExpiryOf(daemon->stated_leaving, target->key));
+    mark_until(daemon, target, LR_LEAVING_BY_HOST_LIST,
+               LrLeavingTargets_ExpiryOf(daemon->leaving, target->key));
+}
+
 void
-LrFleet_MarkRememberedLeaving(LrDaemon *daemon)
+LrFleet_MarkKnownLeaving(LrDaemon *daemon)
 {
-    LrTargets_Each(LrEngine_Targets(daemon->engine), mark_if_remembered,
-                   daemon);
+    LrTargets_Each(LrEngine_Targets(daemon->engine), mark_if_known, daemon);
 }
 
 static void
--- a/liblavenderrail/gateway_check.c
+++ b/liblavenderrail/gateway_check.c
@@ -11,6 +11,7 @@
     LrStr address;
     LrStr instance;
     LrStr path;
+    LrTime sent_at;
     LrTime deadline;
     /* Asks only whether the target can be reached. */
     bool for_reach;
@@ -77,6 +78,23 @@
     }
 }
 
+static void
+apply_statements(const Check *check, LrUpstreamEnd end,
+                 const LrHttpMessage *response)
+{
+    const LrContract *contract = check->gateway->contract;
+    LrTargets *targets = LrEngine_Targets(check->gateway->daemon->engine);
+    LrTarget *target = LrTargets_LookupRemembered(targets, check->key);
+    if (end != LR_UPSTREAM_OK || !target ||
+        !contract->is_from_instance(response, check->instance)) {
+        return;
+    }
+    LrReply reply = {0};
+    contract->read_check_statements(response, &reply);
+    LrTargets_ApplyStatements(targets, target, &reply, check->sent_at,
+                              LrClock_Now());
+}
+
 static void send_check(Check *check);
 
 static void
@@ -99,6 +117,7 @@
 {
     Check *check = data;
     LrDaemon *daemon = check->gateway->daemon;
+    apply_statements(check, end, response);
     if (check->for_reach) {
         end_reach_check(check, end);
         return;
@@ -158,7 +177,8 @@
     check->address = copy_str(target->address);
     check->instance = copy_str(target->instance);
     check->path = copy_str(path);
-    check->deadline = LrClock_Now() + CHECK_TIMEOUT;
+    check->sent_at = LrClock_Now();
+    check->deadline = check->sent_at + CHECK_TIMEOUT;
     g_hash_table_add(gateway->checks, check);
     return check;
 }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -529,6 +529,7 @@
 typedef struct LrZoneDetector LrZoneDetector;
 typedef struct LrZone LrZone;
 typedef struct LrAttempt LrAttempt;
+typedef struct LrReply LrReply;
 typedef struct LrQueryPart LrQueryPart;
 typedef struct LrQuery LrQuery;
 
@@ -635,6 +636,8 @@
     int64_t newest_version;
     int64_t missing_version;
     LrTime missing_until;
+    /* When it was first found without references; 0 while it is in use. */
+    LrTime unused_since;
     GPtrArray *groups;
     bool local;
     /* Used only where the other replicas of its group do not suffice, since
@@ -678,11 +681,23 @@
                          const LrSelectionPolicy *policy);
 void LrTargets_Free(LrTargets *targets);
 /* Looks a target up, adding it if new; the caller owns a reference until
- * LrTargets_Release. */
+ * LrTargets_Release. A target that said something of itself, such as that it
+ * is leaving, is remembered after its last release and found again here. */
 LrTarget *LrTargets_Acquire(LrTargets *targets, const LrTargetSpec *spec,
                             uint32_t connections, LrTime now);
 void LrTargets_Release(LrTargets *targets, LrTarget *target);
+/* A target in use; NULL if there is none. */
 LrTarget *LrTargets_Lookup(LrTargets *targets, LrStr key);
+/* Finds remembered targets, too; for what is told of a target. */
+LrTarget *LrTargets_LookupRemembered(LrTargets *targets, LrStr key);
+size_t LrTargets_CountRemembered(const LrTargets *targets);
+/* Forgets remembered targets whose statements do not hold any more. */
+void LrTargets_ForgetExpired(LrTargets *targets, LrTime now);
+/* Applies what the target states of itself in a reply, whatever its status, to
+ * a request that was sent at sent_at. */
+void LrTargets_ApplyStatements(LrTargets *targets, LrTarget *target,
+                               const LrReply *reply, LrTime sent_at,
+                               LrTime now);
 /* When the oldest request in flight at the target was sent, if the target has
  * replied to nothing since; 0 otherwise. */
 LrTime LrTargets_WaitingSince(const LrTarget *target);
@@ -1308,7 +1323,7 @@
     unsigned n_spent;
 } LrAnswer;
 
-typedef struct {
+struct LrReply {
     LrReplyStatus status;
     /* Set with status failed. */
     LrReason reason;
@@ -1325,7 +1340,7 @@
     /* Opaque to the engine; kept with the body. */
     GBytes *head;
     GBytes *body;
-} LrReply;
+};
 
 typedef enum {
     LR_ACTION_SEND,
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -44,6 +44,10 @@
 /* Longest pause that a target is granted: a larger number is no estimate of
  * when it has room again. */
 #define MAX_PAUSE (300 * LR_SECOND)
+/* How long a rate limit, and the statement that a target is leaving, are
+ * remembered of a target that no view names: its entry or route may come back.
+ * Pauses and misdirections are remembered until they end. */
+#define STATEMENT_MEMORY (60 * LR_SECOND)
 #define SLOW_START_TIME (2 * LR_SECOND)
 #define SLOW_START_LIMIT_RATIO 0.5
 
@@ -57,18 +61,30 @@
 struct LrTargets {
     LrTargetsConfig config;
     const LrSelectionPolicy *policy;
+    /* Targets in use. */
     GHashTable *by_key;
+    /* Those that no view names, while what they said still holds; by key. */
+    GHashTable *remembered;
     LrZoneDetector *zone_detector;
     uint32_t next_index;
     uint32_t next_round_robin;
     LrLimitedTargets *limited;
 };
 
+static void
+leave_zone(LrTarget *target)
+{
+    if (target->zone_state) {
+        target->zone_state->n_targets--;
+        target->zone_state = NULL;
+    }
+}
+
 static void
 free_target(gpointer data)
 {
     LrTarget *target = data;
-    target->zone_state->n_targets--;
+    leave_zone(target);
     LrLimitedTargets_Remove(target->owner->limited, target);
     g_free((char *)target->key.ptr);
     g_free((char *)target->instance.ptr);
@@ -90,6 +106,8 @@
     targets->zone_detector = LrZoneDetector_New(config->zone, config->log);
     targets->by_key = g_hash_table_new_full(LrStr_TableHash, LrStr_TableEqual,
                                             NULL, free_target);
+    targets->remembered = g_hash_table_new_full(
+        LrStr_TableHash, LrStr_TableEqual, NULL, free_target);
     return targets;
 }
 
@@ -100,6 +118,7 @@
         return;
     }
     g_hash_table_unref(targets->by_key);
+    g_hash_table_unref(targets->remembered);
     LrLimitedTargets_Free(targets->limited);
     LrZoneDetector_Free(targets->zone_detector);
     g_free(targets);
@@ -111,12 +130,51 @@
     return (LrStr){.ptr = LrStr_Dup(text), .len = text.len};
 }
 
+static void
+set_place(LrTargets *targets, LrTarget *target, const LrTargetSpec *spec,
+          LrTime now)
+{
+    g_free((char *)target->address.ptr);
+    g_free((char *)target->zone.ptr);
+    target->address = copy_str(spec->address);
+    target->zone = copy_str(spec->zone);
+    target->zone_state =
+        LrZoneDetector_GetZone(targets->zone_detector, spec->zone, now);
+    target->zone_state->n_targets++;
+    target->local = target->zone_state->local;
+}
+
+/* Takes a remembered target back into use; NULL if there is none. */
+static LrTarget *
+take_remembered(LrTargets *targets, LrStr key, const LrTargetSpec *spec,
+                LrTime now)
+{
+    LrTarget *target = g_hash_table_lookup(targets->remembered, &key);
+    if (!target) {
+        return NULL;
+    }
+    g_hash_table_steal(targets->remembered, &key);
+    g_hash_table_insert(targets->by_key, &target->key, target);
+    target->unused_since = 0;
+    set_place(targets, target, spec, now);
+    LR_LOG(targets->config.log, LOG_NOTICE, "target_returned",
+           LrLog_Str("target", target->name),
+           LrLog_Int("leaving", LrTargets_IsLeaving(target, now)),
+           LrLog_Int("limited", target->rate_limit.limited),
+           LrLog_Int("paused_ms",
+                     MAX(0, target->paused_until - now) / LR_MILLISECOND));
+    return target;
+}
+
 LrTarget *
 LrTargets_Acquire(LrTargets *targets, const LrTargetSpec *spec,
                   uint32_t connections, LrTime now)
 {
     LrStr key = spec->instance.len > 0 ? spec->name : spec->address;
     LrTarget *target = LrTargets_Lookup(targets, key);
+    if (!target) {
+        target = take_remembered(targets, key, spec, now);
+    }
     if (target) {
         target->refs++;
         target->limit.max = connections;
@@ -129,12 +187,7 @@
     target->instance = copy_str(spec->instance);
     target->slow_start_until = now + spec->cold_ms * LR_MILLISECOND;
     target->name = copy_str(spec->name);
-    target->address = copy_str(spec->address);
-    target->zone = copy_str(spec->zone);
-    target->zone_state =
-        LrZoneDetector_GetZone(targets->zone_detector, spec->zone, now);
-    target->zone_state->n_targets++;
-    target->local = target->zone_state->local;
+    set_place(targets, target, spec, now);
     target->refs = 1;
     target->groups = g_ptr_array_new();
     target->latency_sampled_at = now;
@@ -144,12 +197,32 @@
     return target;
 }
 
+/* Until when what the target said has to be remembered while it is not in
+ * use; 0 if it said nothing. */
+static LrTime
+statements_expire_at(const LrTarget *target)
+{
+    LrTime memory_ends_at = target->unused_since + STATEMENT_MEMORY;
+    LrTime until = MAX(target->paused_until, target->misdirected_until);
+    if (target->leaving_sources & LR_LEAVING_BY_REPLY) {
+        until = MAX(until, MIN(target->leaving_until, memory_ends_at));
+    }
+    return target->rate_limit.limited ? MAX(until, memory_ends_at) : until;
+}
+
 void
 LrTargets_Release(LrTargets *targets, LrTarget *target)
 {
-    if (--target->refs == 0) {
+    if (--target->refs > 0) {
+        return;
+    }
+    if (target->relay || statements_expire_at(target) == 0) {
         g_hash_table_remove(targets->by_key, &target->key);
+        return;
     }
+    g_hash_table_steal(targets->by_key, &target->key);
+    leave_zone(target);
+    g_hash_table_insert(targets->remembered, &target->key, target);
 }
 
 LrTarget *
@@ -158,6 +231,39 @@
     return g_hash_table_lookup(targets->by_key, &key);
 }
 
+LrTarget *
+LrTargets_LookupRemembered(LrTargets *targets, LrStr key)
+{
+    LrTarget *target = LrTargets_Lookup(targets, key);
+    return target ? target : g_hash_table_lookup(targets->remembered, &key);
+}
+
+size_t
+LrTargets_CountRemembered(const LrTargets *targets)
+{
+    return g_hash_table_size(targets->remembered);
+}
+
+static gboolean
+is_expired(gpointer key, gpointer value, gpointer data)
+{
+    (void)key;
+    LrTarget *target = value;
+    LrTime now = *(LrTime *)data;
+    if (target->unused_since == 0) {
+        target->unused_since = now;
+    }
+    return statements_expire_at(target) <= now;
+}
+
+void
+LrTargets_ForgetExpired(LrTargets *targets, LrTime now)
+{
+    if (g_hash_table_size(targets->remembered) > 0) {
+        g_hash_table_foreach_remove(targets->remembered, is_expired, &now);
+    }
+}
+
 void
 LrTargets_Each(LrTargets *targets, void (*func)(void *, LrTarget *),
                void *data)
@@ -675,6 +781,20 @@
         MAX(target->paused_until, now + MIN(pause, MAX_PAUSE));
 }
 
+void
+LrTargets_ApplyStatements(LrTargets *targets, LrTarget *target,
+                          const LrReply *reply, LrTime sent_at, LrTime now)
+{
+    if (reply->draining) {
+        LrTargets_MarkLeaving(targets, target, LR_LEAVING_BY_REPLY, now);
+    }
+    if (reply->pause != 0) {
+        LrTargets_Pause(targets, target, reply->pause, now);
+    }
+    LrLimitedTargets_OnReport(targets->limited, target, &reply->rate_report,
+                              sent_at, now);
+}
+
 void
 LrTargets_MarkVersionMissing(LrTargets *targets, LrTarget *target,
                              int64_t version, LrTime now)
--- a/liblavenderrail/view.c
+++ b/liblavenderrail/view.c
@@ -321,6 +321,7 @@
     LrView *view = g_new0(LrView, 1);
     LrCatalogueSpec *spec = &catalogue->spec;
     view->refs = 1;
+    LrTargets_ForgetExpired(targets, now);
     view->catalogue = LrCatalogue_Ref(catalogue);
     view->targets = targets;
     view->n_services = spec->n_services;
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -631,3 +631,33 @@
     EXPECT_TRUE(eventually(
         [&] { return fleet.ask(1, "/c/x", "over").status == 200; }));
 }
+
+// A pause is not forgotten with the route to the target that asked for it.
+TEST(RoutedStatements, APauseHoldsWhileItsRouteMovesAwayAndBack)
+{
+    const std::string moving =
+        ",{\"name\":\"moving\",\"host\":\"q.example\",\"prefix\":\"/m/\","
+        "\"type\":\"idempotent\",\"timeout_ms\":1500,\"max_attempts\":2,"
+        "\"service\":\"";
+    RoutedFleet fleet(28950, 1);
+    fleet.server("d1", "d", 7);
+    fleet.setup(moving + "d\"}");
+    ASSERT_TRUE(eventually(
+        [&] { return fleet.ask(1, "/m/x", "before").status == 200; }));
+    fleet.fault("d1", "retry_after", 10);
+    fleet.fault("d1", "shed", 100);
+    EXPECT_EQ(fleet.ask(1, "/m/x", "told").status, 503);
+    size_t n_told = fleet.shed_times("d1").size();
+    EXPECT_GT(n_told, 0U);
+    fleet.config(2, moving + "c\"}");
+    ASSERT_TRUE(eventually(
+        [&] { return fleet.ask(1, "/m/x", "away").status == 200; }));
+    fleet.config(3, moving + "d\"}");
+    ASSERT_TRUE(eventually(
+        [&] { return fleet.ask(1, "/m/x", "back").status == 503; }));
+    for (int i = 0; i < 10; i++) {
+        EXPECT_EQ(fleet.ask(1, "/m/x", "kept" + std::to_string(i)).status,
+                  503);
+    }
+    EXPECT_EQ(fleet.shed_times("d1").size(), n_told);
+}
--- /dev/null
+++ b/tests/test_targets.cc
@@ -0,0 +1,158 @@
+// What targets said of themselves outlives their use by the catalogue.
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "lavenderrail.h"
+#include "limited_targets.h"
+
+namespace {
+
+class TargetsTest : public testing::Test {
+  protected:
+    TargetsTest() : random(LrRandom_New(3)), counters(LrCounters_New())
+    {
+        LrTargetsConfig config = {};
+        config.zone = LrStr_FromC("z0");
+        config.random = random;
+        config.counters = counters;
+        targets = LrTargets_New(&config, &LrSelectionPolicy_ExpectedFinish);
+    }
+    ~TargetsTest() override
+    {
+        LrTargets_Free(targets);
+        LrCounters_Free(counters);
+        LrRandom_Free(random);
+    }
+    LrTarget *
+    acquire(const char *name, const char *instance = "s1",
+            const char *address = "127.0.0.1:1")
+    {
+        LrTargetSpec spec = {};
+        spec.name = LrStr_FromC(name);
+        spec.instance = LrStr_FromC(instance);
+        spec.address = LrStr_FromC(address);
+        spec.zone = LrStr_FromC("z0");
+        return LrTargets_Acquire(targets, &spec, 30, now);
+    }
+    // The catalogue drops the target.
+    void
+    release(LrTarget *target)
+    {
+        LrTargets_Release(targets, target);
+        LrTargets_ForgetExpired(targets, now);
+    }
+    void
+    state(LrTarget *target, const LrReply &reply)
+    {
+        LrTargets_ApplyStatements(targets, target, &reply, now, now);
+    }
+    void
+    advance(LrTime by)
+    {
+        now += by;
+        LrTargets_ForgetExpired(targets, now);
+    }
+
+    LrTime now = 100 * LR_SECOND;
+    LrRandom *random;
+    LrCounters *counters;
+    LrTargets *targets;
+};
+
+} // namespace
+
+TEST_F(TargetsTest, APauseHoldsWhileTheCatalogueDropsTheTargetAndReturnsIt)
+{
+    LrTarget *target = acquire("s1@1");
+    LrReply reply = {};
+    reply.pause = 20 * LR_SECOND;
+    state(target, reply);
+    release(target);
+    EXPECT_EQ(LrTargets_Lookup(targets, LrStr_FromC("s1@1")), nullptr);
+    advance(4 * LR_SECOND);
+    target = acquire("s1@1");
+    EXPECT_TRUE(LrTargets_IsPaused(target, now));
+    advance(16 * LR_SECOND);
+    EXPECT_FALSE(LrTargets_IsPaused(target, now));
+    release(target);
+    EXPECT_EQ(LrTargets_CountRemembered(targets), 0U);
+}
+
+TEST_F(TargetsTest, ALeavingTargetIsKnownWhenItsEntryComesBack)
+{
+    LrTarget *target = acquire("s1@1");
+    LrReply reply = {};
+    reply.draining = true;
+    state(target, reply);
+    release(target);
+    advance(59 * LR_SECOND);
+    target = acquire("s1@1");
+    EXPECT_TRUE(LrTargets_IsLeaving(target, now));
+    release(target);
+    EXPECT_EQ(LrTargets_CountRemembered(targets), 1U);
+    advance(60 * LR_SECOND);
+    EXPECT_EQ(LrTargets_CountRemembered(targets), 0U);
+}
+
+TEST_F(TargetsTest, ARateLimitHoldsWhileTheCatalogueDropsTheTarget)
+{
+    LrTarget *target = acquire("s1@1");
+    LrReply reply = {};
+    reply.rate_report = {LR_RATE_REPORT_LIMITED, 3};
+    state(target, reply);
+    release(target);
+    advance(4 * LR_SECOND);
+    target = acquire("s1@1");
+    EXPECT_TRUE(target->rate_limit.limited);
+    EXPECT_EQ(target->rate_limit.per_second, 3);
+    release(target);
+}
+
+TEST_F(TargetsTest, AnAddressThatAnotherTargetHasIsNotTriedAgainSoon)
+{
+    LrTarget *target = acquire("s1@1");
+    LrTargets_MarkMisdirected(targets, target, now);
+    release(target);
+    advance(4 * LR_SECOND);
+    target = acquire("s1@1");
+    EXPECT_TRUE(LrTargets_IsMisdirected(target, now));
+    release(target);
+}
+
+TEST_F(TargetsTest, WhatIsToldOfATargetThatIsNotInUseIsKept)
+{
+    LrTarget *target = acquire("s1@1");
+    LrReply reply = {};
+    reply.pause = 20 * LR_SECOND;
+    state(target, reply);
+    release(target);
+    target = LrTargets_LookupRemembered(targets, LrStr_FromC("s1@1"));
+    ASSERT_NE(target, nullptr);
+    LrTargets_MarkLeavingUntil(targets, target, LR_LEAVING_BY_REPLY,
+                               now + 30 * LR_SECOND, now);
+    target = acquire("s1@1");
+    EXPECT_TRUE(LrTargets_IsLeaving(target, now));
+    release(target);
+}
+
+TEST_F(TargetsTest, TheNextProcessOfATargetIsAnother)
+{
+    LrTarget *target = acquire("s1@1");
+    LrReply reply = {};
+    reply.pause = 20 * LR_SECOND;
+    reply.draining = true;
+    state(target, reply);
+    release(target);
+    target = acquire("s1@2");
+    EXPECT_FALSE(LrTargets_IsPaused(target, now));
+    EXPECT_FALSE(LrTargets_IsLeaving(target, now));
+    release(target);
+}
+
+TEST_F(TargetsTest, TargetsThatSaidNothingAreNotRemembered)
+{
+    LrTarget *target = acquire("s1@1");
+    release(target);
+    EXPECT_EQ(LrTargets_CountRemembered(targets), 0U);
+}
