client: heads and trailers without end take bounded memory

A configuration store that answers a read with a chunked body and trailers without end brought a daemon to 121 MB within two calls.

Cause: only bodies were bounded; libcurl keeps all headers of a transfer, and its own bound does not hold for trailers.

--- a/liblavenderrail/client.c
+++ b/liblavenderrail/client.c
@@ -13,7 +13,13 @@
 
 #include "socket.h"
 
-enum { MAX_IDLE_HANDLES = 512, MAX_CACHED_CONNECTIONS = 4096 };
+enum {
+    MAX_IDLE_HANDLES = 512,
+    MAX_CACHED_CONNECTIONS = 4096,
+    /* Heads, interim responses and trailers of a response. libcurl keeps them
+     * all until the end of the transfer. */
+    MAX_HEAD_BYTES = 64 << 10,
+};
 
 typedef struct {
     LrClient *client;
@@ -37,6 +43,7 @@
     size_t n_read;
     bool body_read;
     GByteArray *response;
+    size_t n_head_bytes;
     bool too_large;
     LrTransferFunc done;
     void *data;
@@ -275,6 +282,20 @@
     return len;
 }
 
+static size_t
+count_head(char *data, size_t size, size_t n, void *user)
+{
+    (void)data;
+    LrTransfer *transfer = user;
+    size_t len = size * n;
+    transfer->n_head_bytes += len;
+    if (transfer->n_head_bytes > MAX_HEAD_BYTES) {
+        transfer->too_large = true;
+        return 0;
+    }
+    return len;
+}
+
 static CURL *
 take_handle(LrClient *client)
 {
@@ -338,6 +359,8 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, (char *)transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_response);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, count_head);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
--- a/tests/test_endless_input.cc
+++ b/tests/test_endless_input.cc
@@ -1,5 +1,5 @@
-// Bytes that are no message and never end, from checked targets and from peers:
-// memory stays bounded, and callers are served.
+// Bytes that are no message and never end, from checked targets, peers and the
+// configuration store: memory stays bounded, and callers are served.
 #include "endless_server.h"
 
 namespace {
@@ -135,3 +135,29 @@
         expect_bounded(1, kind.name);
     }
 }
+
+TEST_F(EndlessInput, OfTheStoreIsDiscarded)
+{
+    std::vector<EndlessKind> kinds = endless_kinds();
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    kinds.push_back({"interim responses", "HTTP/1.1 100 Continue\r\n\r\n",
+                     "HTTP/1.1 103 Early Hints\r\nX-Fill: aaaa\r\n\r\n"});
+    kinds.push_back({"trailers",
+                     ok + "Transfer-Encoding: chunked\r\n\r\n"
+                          "2\r\n{}\r\n0\r\n",
+                     "X-Fill: " + std::string(1000, 'a') + "\r\n"});
+    kinds.push_back(
+        {"items", ok + "\r\n{\"store_revision\":900,\"items\":[",
+         "{\"key\":\"op/config\",\"revision\":900,\"value\":\"eA==\"},"});
+    int port = BASE + 150;
+    for (const EndlessKind &kind : kinds) {
+        EndlessServer store(port, kind);
+        restart_measured(*fleet, 1,
+                         "http://127.0.0.1:" + std::to_string(port++));
+        ASSERT_TRUE(eventually([&] { return store.n_answered() > 1; }))
+            << kind.name;
+        EXPECT_TRUE(eventually([&] { return fleet->serves(1); })) << kind.name;
+        expect_bounded(1, kind.name);
+        fleet->daemons[1].reset();
+    }
+}
