platform, client: responses of the store are bounded by the size of its values

Cause: the client cut responses of the store off at max-body-bytes, 1 MiB, which is meant for callers; the store sends a value of up to 1 MiB as 1.4 MB of base64 text. A watch that was cut off was repeated from the same revision for ever, and logged as a failed connection.

A watch whose response is over the bound is followed by a list; source_too_large counts such responses. An empty variable counts as not set.

--- a/liblavenderrail/client.c
+++ b/liblavenderrail/client.c
@@ -43,6 +43,7 @@
     size_t n_read;
     bool body_read;
     GByteArray *response;
+    size_t max_body_bytes;
     size_t n_head_bytes;
     bool too_large;
     LrTransferFunc done;
@@ -274,7 +275,7 @@
 {
     LrTransfer *transfer = user;
     size_t len = size * n;
-    if (transfer->response->len + len > transfer->client->max_body_bytes) {
+    if (transfer->response->len + len > transfer->max_body_bytes) {
         transfer->too_large = true;
         return 0;
     }
@@ -350,6 +351,9 @@
     transfer->client = client;
     transfer->easy = take_handle(client);
     transfer->response = g_byte_array_new();
+    transfer->max_body_bytes = spec->max_body_bytes > 0
+                                   ? spec->max_body_bytes
+                                   : client->max_body_bytes;
     transfer->done = spec->done;
     transfer->data = spec->data;
     TAILQ_INSERT_TAIL(&client->transfers, transfer, of_client);
--- a/liblavenderrail/config_watcher.c
+++ b/liblavenderrail/config_watcher.c
@@ -75,6 +75,7 @@
     LrTransferSpec spec = {
         .url = url,
         .timeout = timeout,
+        .max_body_bytes = watcher->config.max_value_bytes,
         .done = done,
         .data = watcher,
     };
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -380,6 +380,8 @@
     int64_t ledger_slots;
     /* largest request or answer body, bytes */
     int64_t max_body_bytes;
+    /* largest value that the configuration service holds, bytes; 0 when it is not known */
+    int64_t max_value_bytes;
     /* largest number of open connections from callers */
     int64_t max_connections;
     /* hedges as a fraction of the first sub-requests, 0 to 1 */
@@ -903,6 +905,7 @@
     LR_COUNT_CONNECTIONS_BROKEN,
     LR_COUNT_BAD_RECORDS,
     LR_COUNT_LINES_DROPPED,
+    LR_COUNT_SOURCE_TOO_LARGE,
     LR_COUNT_SOURCE_FAILURES,
     LR_COUNT_FORWARDED,
     LR_COUNT_FORWARD_SERVED,
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -256,6 +256,8 @@
  * program is to exit with *exit_status: 0 after --help, --version or a
  * successful --check-settings, 2 after invalid settings, whose faults were
  * printed one per line. */
+/* Bytes that a value of the configuration service may have. */
+size_t LrSettings_MaxValueBytes(const LrSettings *settings);
 bool LrSettings_Load(LrSettings *settings, LrArena *arena,
                      const LrSettingsSource *source, int *exit_status);
 
@@ -1548,10 +1550,13 @@
     LrTime timeout;
     /* 0 when only timeout limits it. */
     LrTime connect_timeout;
+    /* Largest body of the response; 0 for the client's own limit. */
+    size_t max_body_bytes;
     LrTransferFunc done;
     void *data;
 } LrTransferSpec;
 
+/* max_body_bytes limits responses to requests that set no limit. */
 LrClient *LrClient_New(struct ev_loop *loop, unsigned max_per_host,
                        size_t max_body_bytes);
 void LrClient_Free(LrClient *client);
@@ -1628,6 +1633,8 @@
     struct LrActiveCatalogue *active_catalogue;
     void (*on_host_list)(void *data, const LrHostList *list);
     void *data;
+    /* Largest value of the configuration service. */
+    size_t max_value_bytes;
 } LrConfigWatcherConfig;
 
 LrConfigWatcher *LrConfigWatcher_New(const LrConfigWatcherConfig *config);
--- a/liblavenderrail/list_watch.c
+++ b/liblavenderrail/list_watch.c
@@ -194,6 +194,18 @@
     list_watch->failures++;
 }
 
+void
+LrListWatch_OnTooLarge(LrListWatch *list_watch, LrTime now)
+{
+    LrCounters_Add(list_watch->config.counters, LR_COUNT_SOURCE_TOO_LARGE, 1);
+    LrListWatch_OnFailure(list_watch, now, "response is too large");
+    /* A watch may return several versions of the same value, and returns them
+     * again when it is repeated; a list has pages. */
+    if (list_watch->listed) {
+        restart_list(list_watch);
+    }
+}
+
 /* A service whose era is lower than that of the active values has nothing
  * newer than they are. */
 static bool
--- a/liblavenderrail/list_watch.h
+++ b/liblavenderrail/list_watch.h
@@ -84,6 +84,8 @@
                           LrListWatchPosition position);
 /* The service doesn't have the history that the watch needs. */
 void LrListWatch_OnCompacted(LrListWatch *list_watch, LrTime now, int64_t era);
+/* The response to the last call exceeds the bound. */
+void LrListWatch_OnTooLarge(LrListWatch *list_watch, LrTime now);
 void LrListWatch_OnFailure(LrListWatch *list_watch, LrTime now,
                            const char *why);
 /* New values to activate in place of base; NULL when there are none. */
--- a/liblavenderrail/native.c
+++ b/liblavenderrail/native.c
@@ -15,6 +15,7 @@
         .hosts_url = config->settings->hosts_url,
         .long_poll_time = config->settings->watch_wait_ms * LR_MILLISECOND,
         .retry_delay = config->settings->watch_retry_ms * LR_MILLISECOND,
+        .max_value_bytes = LrSettings_MaxValueBytes(config->settings),
         .active_catalogue = config->active_catalogue,
         .on_host_list = config->on_host_list,
         .data = config->data,
--- a/liblavenderrail/settings.c
+++ b/liblavenderrail/settings.c
@@ -9,7 +9,14 @@
 #include <argtable2.h>
 #include <netinet/in.h>
 
-enum { N_FIXED_OPTIONS = 4, MAX_OPTION_ERRORS = 20 };
+enum {
+    N_FIXED_OPTIONS = 4,
+    MAX_OPTION_ERRORS = 20,
+    DEFAULT_VALUE_BYTES = 1 << 20,
+    /* Larger values are not read: a daemon with 160 MB of memory holds a value
+     * and several of its encodings at once. */
+    LARGEST_VALUE_BYTES = 8 << 20,
+};
 
 typedef struct {
     struct arg_lit *help;
@@ -90,7 +97,9 @@
     g_autofree char *option = g_strconcat("--", flag_name, NULL);
     const char *text = getenv(variable);
     const char *path = variable;
-    if (!text) {
+    /* A template expands to an empty value where the deployment has none; what
+     * comes next in order of precedence applies then. */
+    if (!text || text[0] == '\0') {
         text = g_hash_table_lookup(options->file_values, flag_name);
         path = text ? flag_name : path;
     }
@@ -202,8 +211,6 @@
                      "is not a setting: '%s'", line);
         return;
     }
-    /* A template expands to an empty value where the deployment has none; the
-     * default applies then. */
     if (equals[1] != '\0') {
         g_hash_table_replace(options->file_values, g_strdup(line),
                              g_strdup(equals + 1));
@@ -260,6 +267,14 @@
     return valid;
 }
 
+size_t
+LrSettings_MaxValueBytes(const LrSettings *settings)
+{
+    int64_t bytes = settings->max_value_bytes > 0 ? settings->max_value_bytes
+                                                  : DEFAULT_VALUE_BYTES;
+    return (size_t)MIN(bytes, LARGEST_VALUE_BYTES);
+}
+
 bool
 LrSettings_Load(LrSettings *settings, LrArena *arena,
                 const LrSettingsSource *source, int *exit_status)
--- a/tests/test_list_watch.cc
+++ b/tests/test_list_watch.cc
@@ -334,3 +334,21 @@
     }
     EXPECT_GT(waited, 4 * LR_SECOND);
 }
+
+// A watch that returned several versions of a large value is not repeated from
+// the same revision for ever.
+TEST_F(ListWatch, AWatchWithAResponseThatIsTooLargeIsFollowedByAList)
+{
+    page({item("a", 3, "1")}, 5);
+    EXPECT_EQ(LrListWatch_NextCall(list_watch, base, now).kind,
+              LR_LIST_WATCH_WATCH);
+    LrListWatch_OnTooLarge(list_watch, now);
+    pass(LR_SECOND);
+    EXPECT_EQ(LrListWatch_NextCall(list_watch, base, now).kind,
+              LR_LIST_WATCH_LIST);
+    page({item("a", 9, "2")}, 9);
+    LrListWatchCall call = LrListWatch_NextCall(list_watch, base, now);
+    EXPECT_EQ(call.kind, LR_LIST_WATCH_WATCH);
+    EXPECT_EQ(call.after_revision, 9);
+    EXPECT_TRUE(LrValueSet_Has(base, "a", 9));
+}
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -423,6 +423,60 @@
     EXPECT_TRUE(eventually([&] { return fleet->serves(1); }));
 }
 
+namespace {
+
+// Routes of that many bytes of JSON, and one at which the last one begins.
+std::string
+many_routes(size_t bytes)
+{
+    std::string routes;
+    for (int i = 0; routes.size() < bytes; i++) {
+        std::string n = std::to_string(100000 + i);
+        routes += ",{\"name\":\"m" + n +
+                  "\",\"host\":\"q.example\",\"prefix\":\"/m" + n +
+                  "/department/\",\"type\":\"idempotent\","
+                  "\"timeout_ms\":1500,\"service\":\"c\","
+                  "\"max_attempts\":2}";
+    }
+    return routes;
+}
+
+} // namespace
+
+// Values come as base64 text, four bytes for three: a configuration of more
+// than three quarters of a megabyte was never read.
+TEST(RoutedLimits, AConfigurationAsLargeAsAValueMayBeIsTakenUp)
+{
+    constexpr size_t VALUE_BYTES = 1 << 20;
+    constexpr size_t OTHER_BYTES = 3000;
+    constexpr int N = 3;
+    RoutedFleet fleet(26950, N);
+    fleet.setup();
+    for (int i = 1; i <= N; i++) {
+        restart_measured(fleet, i);
+        ASSERT_TRUE(eventually([&] { return fleet.serves(i); }));
+    }
+    auto is_in_force = [&](int i) {
+        return fleet.ask(i, "/m100000/department/x", "first").status == 200;
+    };
+    fleet.config(2, many_routes(VALUE_BYTES - OTHER_BYTES));
+    for (int i = 1; i <= N; i++) {
+        EXPECT_TRUE(eventually([&] { return is_in_force(i); })) << i;
+        EXPECT_LT(peak_kb(fleet.daemons[(size_t)i]->pid), MAX_PEAK_KB) << i;
+    }
+    for (int i = 1; i <= N; i++) {
+        fleet.daemons[(size_t)i].reset();
+    }
+    for (int i = 1; i <= N; i++) {
+        restart_measured(fleet, i);
+    }
+    for (int i = 1; i <= N; i++) {
+        EXPECT_TRUE(eventually([&] { return is_in_force(i); }))
+            << i << " after a restart of all";
+        EXPECT_LT(peak_kb(fleet.daemons[(size_t)i]->pid), MAX_PEAK_KB) << i;
+    }
+}
+
 TEST(RoutedLimits, ALimitIsKnownToDaemonsThatDidNotAskItsTarget)
 {
     RoutedFleet fleet(28700, 3, 1);
