targets, routing: withdrawn targets get no later attempts of running queries

Cause: what takes a target out of new queries was a property of the view. A running query has the view that it started on; when its first target fell silent and its connection ended, the retry chose the draining one, which was idle. Queries that wait for admission keep their first view, too.

Change: whether the store offers a target is a state of the target. It is set for all targets in use with each catalogue, before the new view serves waiting queries, and counts as leaving. The query keeps its view, so no answer mixes two configurations.

--- a/liblavenderrail/engine.c
+++ b/liblavenderrail/engine.c
@@ -2,6 +2,7 @@
  * emits actions for the I/O layer. */
 #include "limited_targets.h"
 #include "private.h"
+#include "routing.h"
 
 #include <math.h>
 #include "zone_detector.h"
@@ -239,9 +240,17 @@
     }
 }
 
+static bool
+is_offered(const void *catalogue, const LrTarget *target)
+{
+    return LrRouting_OffersTarget(catalogue, target);
+}
+
 void
 LrEngine_SetCatalogue(LrEngine *engine, LrTime now, LrCatalogue *catalogue)
 {
+    /* Before the new view serves waiting queries of former ones. */
+    LrTargets_SetWithdrawn(engine->targets, is_offered, catalogue);
     build_view(engine, catalogue, now);
 }
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -631,6 +631,9 @@
     LrTime paused_until;
     unsigned leaving_sources;
     LrTime leaving_until;
+    /* The configuration service does not offer it any more: it is draining or
+     * gone. Running queries have it in their views still. */
+    bool withdrawn;
     LrTime slow_start_until;
     /* Range of index versions served, by the last reply that named it; 0 while
      * unknown. */
@@ -693,6 +696,12 @@
 /* Finds remembered targets, too; for what is told of a target. */
 LrTarget *LrTargets_LookupRemembered(LrTargets *targets, LrStr key);
 size_t LrTargets_CountRemembered(const LrTargets *targets);
+/* Sets for all targets in use whether they are withdrawn, as is_offered
+ * tells. */
+void LrTargets_SetWithdrawn(LrTargets *targets,
+                            bool (*is_offered)(const void *data,
+                                               const LrTarget *target),
+                            const void *data);
 /* Forgets remembered targets whose statements do not hold any more. */
 void LrTargets_ForgetExpired(LrTargets *targets, LrTime now);
 /* Applies what the target states of itself in a reply, whatever its status, to
--- a/liblavenderrail/routing.c
+++ b/liblavenderrail/routing.c
@@ -431,6 +431,21 @@
     return routing ? routing->routes : NULL;
 }
 
+bool
+LrRouting_OffersTarget(const LrCatalogue *catalogue, const LrTarget *target)
+{
+    const Routing *routing = catalogue->attached;
+    if (!routing) {
+        return true;
+    }
+    g_autofree char *name =
+        g_strdup_printf("%s%.*s", LR_INSTANCE_PREFIX,
+                        (int)target->instance.len, target->instance.ptr);
+    const Instance *instance = g_hash_table_lookup(routing->instances, name);
+    return instance && instance->usable &&
+           LrStr_Equal(instance->target_name, target->key);
+}
+
 bool
 LrRouting_IsHeld(const LrCatalogue *catalogue)
 {
--- a/liblavenderrail/routing.h
+++ b/liblavenderrail/routing.h
@@ -46,6 +46,10 @@
 /* Whether the routes are those of an earlier catalogue, since the store has a
  * configuration of a lower version. */
 bool LrRouting_IsHeld(const LrCatalogue *catalogue);
+/* Whether requests may be sent to the target: it is registered and not
+ * draining. Always, if the catalogue was not built from routes. */
+bool LrRouting_OffersTarget(const LrCatalogue *catalogue,
+                            const LrTarget *target);
 const LrRoutingSpec *LrRoutes_Spec(const LrRoutes *routes);
 /* The route that matches a request; host may include a port. NULL if none
  * does. */
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -156,6 +156,7 @@
     g_hash_table_steal(targets->remembered, &key);
     g_hash_table_insert(targets->by_key, &target->key, target);
     target->unused_since = 0;
+    target->withdrawn = false;
     set_place(targets, target, spec, now);
     LR_LOG(targets->config.log, LOG_NOTICE, "target_returned",
            LrLog_Str("target", target->name),
@@ -244,6 +245,27 @@
     return g_hash_table_size(targets->remembered);
 }
 
+void
+LrTargets_SetWithdrawn(LrTargets *targets,
+                       bool (*is_offered)(const void *data,
+                                          const LrTarget *target),
+                       const void *data)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, targets->by_key);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        LrTarget *target = value;
+        bool withdrawn = !target->relay && !is_offered(data, target);
+        if (withdrawn && !target->withdrawn) {
+            LR_LOG(targets->config.log, LOG_INFO, "target_withdrawn",
+                   LrLog_Str("target", target->name),
+                   LrLog_Int("in_flight", target->in_flight));
+        }
+        target->withdrawn = withdrawn;
+    }
+}
+
 static gboolean
 is_expired(gpointer key, gpointer value, gpointer data)
 {
@@ -292,7 +314,8 @@
 bool
 LrTargets_IsLeaving(const LrTarget *target, LrTime now)
 {
-    return target->leaving_sources != 0 && target->leaving_until > now;
+    return target->withdrawn ||
+           (target->leaving_sources != 0 && target->leaving_until > now);
 }
 
 bool
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -232,6 +232,29 @@
     }
 }
 
+// A query that began before the target drained has it among its replicas.
+TEST_F(RoutedTest, ALaterAttemptOfARunningRequestDoesNotGoToADrainingTarget)
+{
+    fleet->fault("c1", "pause_ms", 60000);
+    fleet->fault("c2", "pause_ms", 60000);
+    RawCaller caller(fleet->port(1));
+    caller.send(RoutedFleet::request("/c/x", "moved", "GET", "", 60000));
+    ASSERT_TRUE(eventually([&] { return fleet->runs("moved").size() == 1; }));
+    std::string first = fleet->runs("moved")[0];
+    std::string other = first == "c1" ? "c2" : "c1";
+    fleet->control("entry?id=" + other + "&state=draining");
+    // Shows that the daemon has read what was written before it.
+    fleet->config(2, ",{\"name\":\"later\",\"host\":\"q.example\","
+                     "\"prefix\":\"/later/\",\"type\":\"idempotent\","
+                     "\"timeout_ms\":1500,\"service\":\"a\","
+                     "\"max_attempts\":2}");
+    ASSERT_TRUE(eventually(
+        [&] { return fleet->ask(1, "/later/x", "later").status == 200; }));
+    fleet->control("fault?id=" + first + "&name=stop&value=1");
+    EXPECT_GE(caller.read().status, 500);
+    EXPECT_EQ(fleet->runs("moved").size(), 1U) << "the draining one got it";
+}
+
 TEST_F(RoutedTest, AnAddressWithAnotherTargetIsNotServed)
 {
     // The entry of c1 stays in the store, but another searcher has its
