target_reach, targets, forward: a full target says nothing of the links

Cause: rejected connections counted as lost links, so that daemons took themselves as cut off, ended running queries after 150 ms without an answer and had other daemons run them. The attempts made so far travelled with the request and were not counted for the first attempt there.

Change: a connection that is rejected by a target that is likely to be full is no evidence of the links, nor of a crash while an older request is open there; running queries are ended only where new connections hang; a request is handed over, accepted and sent only while its route allows another attempt, and never refused as not run if it may have run at the order of another daemon.

--- a/liblavenderrail/dispatch.c
+++ b/liblavenderrail/dispatch.c
@@ -255,6 +255,11 @@
         part->held = true;
         return;
     }
+    if (part->n_sent == 0 && !LrDispatch_HasAttemptsLeft(part)) {
+        part->reason = LR_REASON_TARGET_FAILED;
+        give_up(part, now);
+        return;
+    }
     double remaining = (double)(query->hard_deadline - now);
     if (remaining < MIN_TIME_LEFT_MEDIANS *
                         (double)LrDispatch_MedianOrDefault(query) ||
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -285,7 +285,8 @@
               LrTime now)
 {
     if (routed->n_forwards >= MAX_DELEGATIONS ||
-        routed->n_given_back >= MAX_GIVEN_BACK) {
+        routed->n_given_back >= MAX_GIVEN_BACK ||
+        routed->n_spent >= routed->route->max_attempts) {
         return LrStr_FromC("");
     }
     return LrDelegates_Pick(forward->daemon->delegates, routed->route->scatter,
@@ -528,7 +529,11 @@
      * mixes two configurations, and to callers no host may seem to return to
      * an older one. */
     g_autofree char *digest = digest_text(routes, route);
-    return LrStr_EqualC(message->route_digest, digest) ? route : NULL;
+    if (!LrStr_EqualC(message->route_digest, digest)) {
+        return NULL;
+    }
+    *why = LR_DECLINE_ATTEMPTS;
+    return message->n_spent < route->spec->max_attempts ? route : NULL;
 }
 
 static void
--- a/liblavenderrail/gateway_answer.c
+++ b/liblavenderrail/gateway_answer.c
@@ -46,11 +46,12 @@
     return body;
 }
 
-/* HTTP status of an answer that the daemon itself makes. */
+/* HTTP status of an answer that the daemon itself makes. A request that did
+ * not run here may have run at the order of a daemon that handed it over. */
 static unsigned
-error_status(const LrAnswer *answer)
+error_status(const LrRoutedRequest *routed, const LrAnswer *answer)
 {
-    if (answer->outcome == LR_OUTCOME_NOT_RUN) {
+    if (answer->outcome == LR_OUTCOME_NOT_RUN && routed->n_spent == 0) {
         return LR_STATUS_UNAVAILABLE;
     }
     return answer->reason == LR_REASON_DEADLINE ? LR_STATUS_TIMEOUT
@@ -85,7 +86,7 @@
         return answer->parts[0].body ? g_bytes_ref(answer->parts[0].body)
                                      : NULL;
     }
-    *status = error_status(answer);
+    *status = error_status(routed, answer);
     LrTime after = *status == LR_STATUS_UNAVAILABLE
                        ? LrGateway_RetryAfter(answer->reason)
                        : 0;
@@ -164,6 +165,14 @@
     answer_caller(routed, head, NULL);
 }
 
+/* Whether the route allows another attempt, whichever daemon makes it. */
+static bool
+has_attempts_left(const LrRoutedRequest *routed, const LrAnswer *answer)
+{
+    return routed->n_spent + answer->n_spent <
+           (uint64_t)routed->route->max_attempts;
+}
+
 /* Whether this daemon can't run a request of one that reaches no target, for
  * reasons that need not hold for others: targets that it left out, or that
  * want a pause from it, or a share of a rate limit that is used up. */
@@ -205,7 +214,8 @@
         LrRoutedRequest_Unref(routed);
         return;
     }
-    if (may_hand_over(routed, answer) || may_give_back(routed, answer)) {
+    if (has_attempts_left(routed, answer) &&
+        (may_hand_over(routed, answer) || may_give_back(routed, answer))) {
         routed->n_spent += answer->n_spent;
         if (LrForward_HandOver(routed->gateway->forward, routed)) {
             return;
--- a/liblavenderrail/gateway_attempt.c
+++ b/liblavenderrail/gateway_attempt.c
@@ -72,6 +72,7 @@
     static const LrReplyStatus ends[] = {
         [LR_UPSTREAM_OK] = LR_REPLY_OK,
         [LR_UPSTREAM_NOT_SENT] = LR_REPLY_CONNECT_FAILED,
+        [LR_UPSTREAM_CONNECT_TIMEOUT] = LR_REPLY_CONNECT_FAILED,
         [LR_UPSTREAM_STALE] = LR_REPLY_STALE,
         [LR_UPSTREAM_BROKEN] = LR_REPLY_BROKEN,
         [LR_UPSTREAM_TIMEOUT] = LR_REPLY_TIMEOUT,
--- a/liblavenderrail/gateway_check.c
+++ b/liblavenderrail/gateway_check.c
@@ -60,10 +60,25 @@
     return true;
 }
 
+/* A request that was sent before the target seemed to crash is in flight on an
+ * open connection, so the target's process lives, and resets new connections
+ * since it has no room. */
+static bool
+is_alive_and_full(const Check *check, LrUpstreamEnd end)
+{
+    const LrTarget *target = LrTargets_Lookup(
+        LrEngine_Targets(check->gateway->daemon->engine), check->key);
+    return target && end != LR_UPSTREAM_CONNECT_TIMEOUT &&
+           LrTargets_HasOpenRequest(target, target->broken_at);
+}
+
 static LrCheckResult
 check_result(const Check *check, LrUpstreamEnd end,
              const LrHttpMessage *response)
 {
+    if (end != LR_UPSTREAM_OK && is_alive_and_full(check, end)) {
+        return LR_CHECK_UNKNOWN;
+    }
     switch (end) {
     case LR_UPSTREAM_OK:
         return check->gateway->contract->is_from_instance(response,
@@ -71,6 +86,7 @@
                    ? LR_CHECK_UP
                    : LR_CHECK_DOWN;
     case LR_UPSTREAM_NOT_SENT:
+    case LR_UPSTREAM_CONNECT_TIMEOUT:
     case LR_UPSTREAM_BROKEN:
         return LR_CHECK_DOWN;
     default:
@@ -106,7 +122,11 @@
     /* A target that takes the request and is busy is reached. */
     bool reached = end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED ||
                    end == LR_UPSTREAM_TIMEOUT;
-    LrTargetReach_OnCheck(gateway->reach, reached, now);
+    const LrTarget *target = LrTargets_Lookup(
+        LrEngine_Targets(gateway->daemon->engine), check->key);
+    if (reached || !target || !LrGateway_MayBeOverloaded(target, end, now)) {
+        LrTargetReach_OnCheck(gateway->reach, reached, now);
+    }
     g_hash_table_remove(gateway->checks, check);
     LrGateway_UpdateReach(gateway, now);
     LrDaemon_RunActions(gateway->daemon);
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -113,7 +113,11 @@
 /* Whether this daemon reaches no target. */
 bool LrGateway_IsCutOff(const LrGateway *gateway);
 /* Called by the upstream for each new connection to a target. */
-void LrGateway_OnFirstUse(void *gateway, LrStr key, bool answered);
+void LrGateway_OnFirstUse(void *gateway, LrStr key, LrUpstreamEnd end);
+/* Whether a connection that ended like that says nothing of the links: a
+ * target that has no room resets new connections. */
+bool LrGateway_MayBeOverloaded(const LrTarget *target, LrUpstreamEnd end,
+                               LrTime now);
 /* Acts on what is now known of the links to the targets. */
 void LrGateway_UpdateReach(LrGateway *gateway, LrTime now);
 
--- a/liblavenderrail/gateway_reach.c
+++ b/liblavenderrail/gateway_reach.c
@@ -3,6 +3,9 @@
 #include "gateway_private.h"
 
 enum {
+    /* Targets that have to be checked at once, or all where there are fewer:
+     * a few may fail for reasons of their own. */
+    MIN_CHECKED = 3,
     /* Of the checked targets in doubt, those that replied last: they were up a
      * moment ago. The others are drawn, since what those share, such as a
      * request that crashes them, may have brought them down. */
@@ -16,6 +19,8 @@
     /* Those with the highest score are chosen, up to this number. */
     double (*score)(const LrGateway *gateway, const LrTarget *target);
     size_t limit;
+    /* Targets that could be checked if they were not overloaded. */
+    size_t n_overloaded;
     struct {
         LrTarget *target;
         double score;
@@ -52,6 +57,14 @@
     return LrRandom_Uniform(LrEngine_Random(gateway->daemon->engine));
 }
 
+bool
+LrGateway_MayBeOverloaded(const LrTarget *target, LrUpstreamEnd end,
+                          LrTime now)
+{
+    bool rejected = end == LR_UPSTREAM_NOT_SENT || end == LR_UPSTREAM_BROKEN;
+    return rejected && LrTargets_IsOverloaded(target, now);
+}
+
 static bool
 is_checkable(const CheckChoice *choice, const LrTarget *target)
 {
@@ -75,6 +88,10 @@
     if (!is_checkable(choice, target)) {
         return;
     }
+    if (LrTargets_IsOverloaded(target, choice->now)) {
+        choice->n_overloaded++;
+        return;
+    }
     double score = choice->score(choice->gateway, target);
     size_t at = choice->n;
     while (at > choice->first && choice->rows[at - 1].score < score) {
@@ -109,7 +126,11 @@
     if (!LrGateway_IsCutOff(gateway)) {
         choose(&choice, RECENT_CHECKS, score_recency);
     }
+    choice.n_overloaded = 0;
     choose(&choice, LR_REACH_CHECKS - RECENT_CHECKS, score_random);
+    if (choice.n < MIN(MIN_CHECKED, choice.n + choice.n_overloaded)) {
+        return;
+    }
     for (size_t i = 0; i < choice.n; i++) {
         LrGateway_CheckReach(gateway, choice.rows[i].target);
     }
@@ -137,8 +158,11 @@
     if (state != gateway->reach_state) {
         on_state_changed(gateway, state, now);
     }
-    /* Queries that still get replies on older connections go on. */
+    /* Queries that still get replies on older connections go on, and so do
+     * those on connections that are open while new ones are rejected: only
+     * where new ones hang are the open ones lost, too. */
     if (state == LR_REACH_CUT_OFF && !gateway->loss_told &&
+        LrTargetReach_LinksHang(gateway->reach) &&
         LrTargetReach_IsSilent(gateway->reach, now)) {
         gateway->loss_told = true;
         LrEngine_OnTargetsLost(gateway->daemon->engine, now);
@@ -146,21 +170,22 @@
 }
 
 void
-LrGateway_OnFirstUse(void *data, LrStr key, bool answered)
+LrGateway_OnFirstUse(void *data, LrStr key, LrUpstreamEnd end)
 {
     LrGateway *gateway = data;
+    LrTime now = LrClock_Now();
     LrTarget *target =
         LrTargets_Lookup(LrEngine_Targets(gateway->daemon->engine), key);
-    if (answered) {
-        LrTargetReach_OnNewConnection(gateway->reach, LrClock_Now());
+    if (end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED) {
+        LrTargetReach_OnNewConnection(gateway->reach, now);
     }
-    else if (target) {
+    else if (target && !LrGateway_MayBeOverloaded(target, end, now)) {
         LrTargetReach_OnConnectFailed(gateway->reach, target->index,
-                                      LrClock_Now());
+                                      end == LR_UPSTREAM_CONNECT_TIMEOUT, now);
         if (target->n_broken_requests > 0) {
-            LrTargetReach_OnTargetDown(gateway->reach, LrClock_Now());
+            LrTargetReach_OnTargetDown(gateway->reach, now);
         }
-        LrGateway_UpdateReach(gateway, LrClock_Now());
+        LrGateway_UpdateReach(gateway, now);
     }
 }
 
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -100,6 +100,7 @@
     "cut_off",
     "route",
     "no_target",
+    "attempts",
     NULL,
 };
 
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -120,6 +120,7 @@
     LR_DECLINE_CUT_OFF,
     LR_DECLINE_ROUTE,
     LR_DECLINE_NO_TARGET,
+    LR_DECLINE_ATTEMPTS,
     LR_DECLINE_COUNT
 } LrDeclineReason;
 extern const char *const LrDeclineReason_Names[];
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -602,6 +602,8 @@
     LrTime latency_sampled_at;
     double reported_queue;
     LrTime load_reported_at;
+    /* When it last refused a request, or reported that requests wait there. */
+    LrTime overloaded_at;
     /* Last time that any reply came from the target. */
     LrTime last_reply_at;
     uint32_t consecutive_failures;
@@ -738,6 +740,12 @@
 LrLimitedTargets *LrTargets_Limited(LrTargets *targets);
 /* The failure detector of the zones that the targets are in. */
 LrZoneDetector *LrTargets_ZoneDetector(LrTargets *targets);
+/* Whether a request that was sent before that time is in flight: its
+ * connection is open. */
+bool LrTargets_HasOpenRequest(const LrTarget *target, LrTime sent_before);
+/* Whether the target is likely to have no room for a new connection: it said
+ * so a moment ago, or keeps a request waiting for long. */
+bool LrTargets_IsOverloaded(const LrTarget *target, LrTime now);
 /* Evaluates, by the requests that targets keep waiting, which zones are
  * unreachable. */
 void LrTargets_EvaluateZones(LrTargets *targets, LrTime now);
--- a/liblavenderrail/target_reach.c
+++ b/liblavenderrail/target_reach.c
@@ -49,6 +49,8 @@
      * target answered. */
     uint32_t failed[MAX_FAILED];
     size_t n_failed;
+    /* How many of these connections were not set up in time. */
+    size_t n_hanging;
     size_t n_overdue;
     LrTime last_reply_at;
     LrTime evaluated_at;
@@ -123,10 +125,17 @@
     reach->last_reply_at = now;
 }
 
+static void
+clear_failed(LrTargetReach *reach)
+{
+    reach->n_failed = 0;
+    reach->n_hanging = 0;
+}
+
 void
 LrTargetReach_OnNewConnection(LrTargetReach *reach, LrTime now)
 {
-    reach->n_failed = 0;
+    clear_failed(reach);
     /* It tells as much as a check that passed. */
     if (reach->state == LR_REACH_IN_DOUBT) {
         reach->trusted_until = now + TRUST_TIME;
@@ -156,11 +165,12 @@
 
 void
 LrTargetReach_OnConnectFailed(LrTargetReach *reach, uint32_t target,
-                              LrTime now)
+                              bool timed_out, LrTime now)
 {
     if (reach->n_failed < MAX_FAILED &&
         !LrTargetReach_HasFailed(reach, target)) {
         reach->failed[reach->n_failed++] = target;
+        reach->n_hanging += timed_out;
     }
     consider(reach, now);
 }
@@ -184,7 +194,7 @@
     if (reach->evaluated_at == 0 ||
         now - reach->evaluated_at > MAX_ROUND_GAP) {
         reach->last_reply_at = now;
-        reach->n_failed = 0;
+        clear_failed(reach);
     }
     reach->evaluated_at = now;
     reach->n_targets = n_targets;
@@ -264,6 +274,12 @@
     return now - reach->last_reply_at > SILENCE_TIME;
 }
 
+bool
+LrTargetReach_LinksHang(const LrTargetReach *reach)
+{
+    return reach->n_hanging >= MIN(MIN_FAILED, MAX(1, reach->n_targets));
+}
+
 double
 LrTargetReach_DelegatedShare(const LrTargetReach *reach, LrTime now)
 {
--- a/liblavenderrail/target_reach.h
+++ b/liblavenderrail/target_reach.h
@@ -30,11 +30,11 @@
 LrReachState LrTargetReach_State(const LrTargetReach *reach);
 /* Anything was received from a target in reply to a request. */
 void LrTargetReach_OnReply(LrTargetReach *reach, LrTime now);
-/* A target answered on a new connection, or such a connection failed. Targets
- * are named by their index. */
+/* A target answered on a new connection, or such a connection failed: it was
+ * rejected, or not set up in time. Targets are named by their index. */
 void LrTargetReach_OnNewConnection(LrTargetReach *reach, LrTime now);
 void LrTargetReach_OnConnectFailed(LrTargetReach *reach, uint32_t target,
-                                   LrTime now);
+                                   bool timed_out, LrTime now);
 /* A target seems to have crashed: doubt holds until another one is reached,
  * since a daemon that is cut off takes every target as down. */
 void LrTargetReach_OnTargetDown(LrTargetReach *reach, LrTime now);
@@ -56,6 +56,9 @@
 void LrTargetReach_OnCheck(LrTargetReach *reach, bool reached, LrTime now);
 /* Whether replies have stopped on all connections, live ones included. */
 bool LrTargetReach_IsSilent(const LrTargetReach *reach, LrTime now);
+/* Whether new connections to several targets were not set up in time: what was
+ * sent on open ones may be lost, too. */
+bool LrTargetReach_LinksHang(const LrTargetReach *reach);
 /* Share, 0 to 1, of new requests that other daemons should run: all while cut
  * off, and fewer and fewer for a short time afterwards. */
 double LrTargetReach_DelegatedShare(const LrTargetReach *reach, LrTime now);
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -48,6 +48,11 @@
  * remembered of a target that no view names: its entry or route may come back.
  * Pauses and misdirections are remembered until they end. */
 #define STATEMENT_MEMORY (60 * LR_SECOND)
+/* A target that refused a request, or reported that requests wait there,
+ * counts as overloaded for this long, and one that keeps a request waiting for
+ * longer than the second time: several times what requests usually take. */
+#define OVERLOAD_MEMORY LR_SECOND
+#define OVERLOAD_WAIT (500 * LR_MILLISECOND)
 #define SLOW_START_TIME (2 * LR_SECOND)
 #define SLOW_START_LIMIT_RATIO 0.5
 
@@ -726,6 +731,7 @@
 {
     LrCounters_Add(targets->config.counters, LR_COUNT_SHED, 1);
     add_attempt_outcome(target, true, now);
+    target->overloaded_at = now;
     LrZone_OnContact(target->zone_state, now);
     LrConcurrencyLimit_OnShed(&target->limit);
 }
@@ -814,10 +820,28 @@
     if (reply->pause != 0) {
         LrTargets_Pause(targets, target, reply->pause, now);
     }
+    if (reply->load.present && reply->load.queued > 0) {
+        target->overloaded_at = now;
+    }
     LrLimitedTargets_OnReport(targets->limited, target, &reply->rate_report,
                               sent_at, now);
 }
 
+bool
+LrTargets_HasOpenRequest(const LrTarget *target, LrTime sent_before)
+{
+    const LrAttempt *oldest = TAILQ_FIRST(&target->attempts);
+    return oldest && oldest->sent_at < sent_before;
+}
+
+bool
+LrTargets_IsOverloaded(const LrTarget *target, LrTime now)
+{
+    bool said_so = target->overloaded_at > 0 &&
+                   now - target->overloaded_at <= OVERLOAD_MEMORY;
+    return said_so || LrTargets_HasOpenRequest(target, now - OVERLOAD_WAIT);
+}
+
 void
 LrTargets_MarkVersionMissing(LrTargets *targets, LrTarget *target,
                              int64_t version, LrTime now)
--- a/liblavenderrail/upstream.c
+++ b/liblavenderrail/upstream.c
@@ -124,11 +124,11 @@
 }
 
 static void
-report_first_use(const LrUpstream *upstream, LrStr key, bool answered)
+report_first_use(const LrUpstream *upstream, LrStr key, LrUpstreamEnd end)
 {
     const LrUpstreamConfig *config = &upstream->config;
     if (config->first_used) {
-        config->first_used(config->data, key, answered);
+        config->first_used(config->data, key, end);
     }
 }
 
@@ -240,8 +240,7 @@
     conn->request = NULL;
     /* A deadline that has passed tells nothing of the connection. */
     if (!conn->reused && end != LR_UPSTREAM_TIMEOUT && !conn->overdue) {
-        bool answered = end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED;
-        report_first_use(conn->upstream, conn->pool->key, answered);
+        report_first_use(conn->upstream, conn->pool->key, end);
     }
     bool reusable = end == LR_UPSTREAM_OK && !conn->must_close &&
                     LrHttpMessage_KeepsAlive(conn->response) &&
@@ -457,7 +456,7 @@
         close_conn(conn);
     }
     else {
-        end_request(conn, LR_UPSTREAM_NOT_SENT);
+        end_request(conn, LR_UPSTREAM_CONNECT_TIMEOUT);
     }
 }
 
@@ -468,7 +467,8 @@
     LrUpstreamRequest *request = data;
     if (!request->conn) {
         if (request->failed) {
-            report_first_use(request->upstream, request->spec.key, false);
+            report_first_use(request->upstream, request->spec.key,
+                             LR_UPSTREAM_NOT_SENT);
         }
         request->spec.done(request->spec.data, LR_UPSTREAM_NOT_SENT, NULL);
         free_request(request);
--- a/liblavenderrail/upstream.h
+++ b/liblavenderrail/upstream.h
@@ -18,6 +18,8 @@
     LR_UPSTREAM_OK,
     /* No byte of the request was written to a connection. */
     LR_UPSTREAM_NOT_SENT,
+    /* The same, since the connection was not set up in time. */
+    LR_UPSTREAM_CONNECT_TIMEOUT,
     /* A reused connection failed before any byte of a response. */
     LR_UPSTREAM_STALE,
     LR_UPSTREAM_BROKEN,
@@ -63,10 +65,9 @@
     size_t max_body_bytes;
     size_t max_buffered_bytes;
     size_t max_connections;
-    /* The first request on a new connection to the target of that key was
-     * answered, or the connection failed before. Called before done of the
-     * request; may be NULL. */
-    void (*first_used)(void *data, LrStr key, bool answered);
+    /* How the first request on a new connection to the target of that key
+     * ended. Called before done of the request; may be NULL. */
+    void (*first_used)(void *data, LrStr key, LrUpstreamEnd end);
     /* The number of idle connections of that key is now n_idle. */
     void (*idle_changed)(void *data, LrStr key, size_t n_idle);
     void *data;
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -105,6 +105,7 @@
         request.body = g_bytes_new(body, strlen(body));
         request.single_shard = single_shard;
         request.routing_key = LrStr_FromC("k");
+        request.n_spent = n_spent;
         if (caller != 0) {
             request.fingerprint = {std::hash<std::string>()(body), caller};
         }
@@ -239,6 +240,8 @@
     LrTime now = LR_SECOND;
     // Who submits; 0 where callers are not told apart.
     uint64_t caller = 0;
+    // Attempts that other daemons made of the next requests.
+    unsigned n_spent = 0;
     // What targets report with the next replies.
     LrRateReport rate_report = {};
     // Pause that targets ask for in each reply.
--- a/tests/test_routed_engine.cc
+++ b/tests/test_routed_engine.cc
@@ -237,3 +237,17 @@
     EXPECT_EQ(harness.sends.size(), 1u);
     EXPECT_EQ(harness.count(LR_COUNT_TARGET_PAUSES), 0u);
 }
+
+// Attempts that another daemon made before it handed the request over count.
+TEST(RoutedEngine, AnAttemptBeyondTheLimitOfItsEntryIsNotMadeHereEither)
+{
+    RoutedHarness harness(1, 3);
+    harness.n_spent = 2;
+    harness.submit("ask", false, "spent");
+    EXPECT_TRUE(harness.sends.empty());
+    ASSERT_EQ(harness.answers.size(), 1u);
+    EXPECT_TRUE(harness.answers[0].bodies.empty());
+    harness.n_spent = 1;
+    harness.submit("ask", false, "one left");
+    EXPECT_EQ(harness.sends.size(), 1u);
+}
--- a/tests/test_target_reach.cc
+++ b/tests/test_target_reach.cc
@@ -53,8 +53,8 @@
     void
     cut_off()
     {
-        LrTargetReach_OnConnectFailed(reach, 1, now);
-        LrTargetReach_OnConnectFailed(reach, 2, now);
+        LrTargetReach_OnConnectFailed(reach, 1, false, now);
+        LrTargetReach_OnConnectFailed(reach, 2, false, now);
         check(false, LR_REACH_CHECKS);
         ASSERT_EQ(state(), LR_REACH_CUT_OFF);
     }
@@ -108,10 +108,10 @@
 TEST_F(TargetReachTest, RefusedConnectionsAreACutAlthoughLiveOnesGoOn)
 {
     LrTargetReach_OnReply(reach, now);
-    LrTargetReach_OnConnectFailed(reach, 7, now);
-    LrTargetReach_OnConnectFailed(reach, 7, now);
+    LrTargetReach_OnConnectFailed(reach, 7, false, now);
+    LrTargetReach_OnConnectFailed(reach, 7, false, now);
     EXPECT_EQ(state(), LR_REACH_NORMAL) << "a single target";
-    LrTargetReach_OnConnectFailed(reach, 8, now);
+    LrTargetReach_OnConnectFailed(reach, 8, false, now);
     EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
     LrTargetReach_OnReply(reach, now);
     check(false, LR_REACH_CHECKS);
@@ -121,11 +121,11 @@
 
 TEST_F(TargetReachTest, AnAnswerOnANewConnectionClearsEarlierFailures)
 {
-    LrTargetReach_OnConnectFailed(reach, 7, now);
+    LrTargetReach_OnConnectFailed(reach, 7, false, now);
     EXPECT_TRUE(LrTargetReach_HasFailed(reach, 7));
     LrTargetReach_OnNewConnection(reach, now);
     EXPECT_FALSE(LrTargetReach_HasFailed(reach, 7));
-    LrTargetReach_OnConnectFailed(reach, 8, now);
+    LrTargetReach_OnConnectFailed(reach, 8, false, now);
     EXPECT_EQ(state(), LR_REACH_NORMAL);
 }
 
@@ -166,7 +166,7 @@
 {
     n_targets = 1;
     evaluate(0);
-    LrTargetReach_OnConnectFailed(reach, 1, now);
+    LrTargetReach_OnConnectFailed(reach, 1, false, now);
     EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
     check(false);
     EXPECT_EQ(state(), LR_REACH_CUT_OFF);
@@ -189,15 +189,15 @@
     cut_off();
     check(true, 2);
     ASSERT_EQ(state(), LR_REACH_NORMAL);
-    LrTargetReach_OnConnectFailed(reach, 1, now);
-    LrTargetReach_OnConnectFailed(reach, 2, now);
+    LrTargetReach_OnConnectFailed(reach, 1, false, now);
+    LrTargetReach_OnConnectFailed(reach, 2, false, now);
     EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
 }
 
 TEST_F(TargetReachTest, AnAnswerOnANewConnectionEndsTheDoubt)
 {
-    LrTargetReach_OnConnectFailed(reach, 1, now);
-    LrTargetReach_OnConnectFailed(reach, 2, now);
+    LrTargetReach_OnConnectFailed(reach, 1, false, now);
+    LrTargetReach_OnConnectFailed(reach, 2, false, now);
     LrTargetReach_OnNewConnection(reach, now);
     EXPECT_EQ(state(), LR_REACH_NORMAL);
 }
@@ -213,3 +213,18 @@
     LrTargetReach_OnTargetDown(reach, now);
     EXPECT_EQ(state(), LR_REACH_IN_DOUBT);
 }
+
+// Requests on open connections are lost only where new ones hang: a target
+// that rejects new ones may answer on open ones.
+TEST_F(TargetReachTest, RejectedConnectionsDoNotMeanThatOpenOnesAreLost)
+{
+    cut_off();
+    EXPECT_FALSE(LrTargetReach_LinksHang(reach));
+    LrTargetReach_OnConnectFailed(reach, 3, true, now);
+    EXPECT_FALSE(LrTargetReach_LinksHang(reach)) << "one target only";
+    LrTargetReach_OnConnectFailed(reach, 4, true, now);
+    EXPECT_TRUE(LrTargetReach_LinksHang(reach));
+    check(true, 2);
+    EXPECT_EQ(state(), LR_REACH_NORMAL);
+    EXPECT_FALSE(LrTargetReach_LinksHang(reach));
+}
--- a/tests/test_targets.cc
+++ b/tests/test_targets.cc
@@ -156,3 +156,23 @@
     release(target);
     EXPECT_EQ(LrTargets_CountRemembered(targets), 0U);
 }
+
+// Where it has no room, a target resets new connections.
+TEST_F(TargetsTest, ATargetWithWaitingRequestsCountsAsOverloadedForAWhile)
+{
+    LrTarget *target = acquire("s1@1");
+    EXPECT_FALSE(LrTargets_IsOverloaded(target, now));
+    LrReply reply = {};
+    reply.load.present = true;
+    reply.load.running = 3;
+    state(target, reply);
+    EXPECT_FALSE(LrTargets_IsOverloaded(target, now));
+    reply.load.queued = 2;
+    state(target, reply);
+    EXPECT_TRUE(LrTargets_IsOverloaded(target, now));
+    advance(1001 * LR_MILLISECOND);
+    EXPECT_FALSE(LrTargets_IsOverloaded(target, now));
+    LrTargets_OnShed(targets, target, now);
+    EXPECT_TRUE(LrTargets_IsOverloaded(target, now));
+    release(target);
+}
--- a/tests/test_unreachable_targets.cc
+++ b/tests/test_unreachable_targets.cc
@@ -246,3 +246,27 @@
     EXPECT_EQ(cluster.served(4, "/c/", "stop"), N_TRIES);
     EXPECT_EQ(cluster.served(4, "/s/", "gather"), N_TRIES);
 }
+
+// Its targets reject new connections and go on with what they have: a request
+// that runs is neither given up nor run again by another daemon.
+TEST(UnreachableTargetsOfOneHost, ARequestThatRunsOnAnOpenConnectionGoesOn)
+{
+    Cluster cluster(BASE);
+    cluster.fleet.config(
+        2, ",{\"name\":\"single\",\"host\":\"q.example\","
+           "\"prefix\":\"/single/\",\"type\":\"idempotent\","
+           "\"timeout_ms\":9000,\"service\":\"c\",\"max_attempts\":1}");
+    ASSERT_TRUE(eventually([&] {
+        return cluster.fleet.ask(1, "/single/x", "before").status == 200;
+    }));
+    for (const char *target : {"c1", "c2"}) {
+        cluster.fleet.fault(target, "pause_ms", 3000);
+    }
+    RawCaller caller(cluster.fleet.port(1));
+    caller.send(RoutedFleet::request("/single/x", "kept", "GET", "", 9000));
+    ASSERT_TRUE(
+        eventually([&] { return cluster.fleet.runs("kept").size() == 1; }));
+    cluster.cut(1, Cut::RESET_NEW);
+    EXPECT_EQ(caller.read().status, 200);
+    EXPECT_EQ(cluster.fleet.runs("kept").size(), 1U);
+}
