--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1911,6 +1911,7 @@
      .offset = offsetof(LrForwardAnswerMsg, why),
      .hint = "why the request is declined or given back; unstated by builds before it was added",
      .choices = LrDeclineReason_Names,
+     .open = true,
      .fallback = 0},
 };
 
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -134,6 +134,9 @@
     const char *fallback_str;
     /* Names of the values of an enum, ended by NULL. */
     const char *const *choices;
+    /* Of an enum: later builds may send choices that this one does not know;
+     * they are read as the default. */
+    bool open;
     /* Type of the items of a list. */
     const LrRecordDescriptor *object;
     /* What a valid value is, for --help and fault reports. */
--- a/liblavenderrail/record_msgpack.c
+++ b/liblavenderrail/record_msgpack.c
@@ -127,6 +127,17 @@
     return true;
 }
 
+/* Whether a later build sent a choice that this one does not know. */
+static bool
+is_unknown_choice(const LrFieldDescriptor *field, double value)
+{
+    int n = 0;
+    while (field->open && field->choices[n]) {
+        n++;
+    }
+    return n > 0 && value >= n && value == floor(value);
+}
+
 static bool
 is_valid_number(const LrFieldDescriptor *field, double value)
 {
@@ -161,7 +172,13 @@
         return true;
     }
     double value;
-    if (!object_number(object, &value) || !is_valid_number(field, value)) {
+    if (!object_number(object, &value)) {
+        return false;
+    }
+    if (is_unknown_choice(field, value)) {
+        return true;
+    }
+    if (!is_valid_number(field, value)) {
         return false;
     }
     if (field->kind == LR_FIELD_INT) {
--- a/schema/generate.py
+++ b/schema/generate.py
@@ -71,6 +71,8 @@
         parts.append(".object = &%s_Descriptor" % field["object"])
     if field["type"] == "enum":
         parts.append(".choices = %s_Names" % field["enum"])
+    if field.get("open"):
+        parts.append(".open = true")
     if "min" in field:
         parts.append(".min = %s" % field["min"])
         parts.append(".max = %s" % field["max"])
--- a/tests/test_record.cc
+++ b/tests/test_record.cc
@@ -92,3 +92,19 @@
     const char map[] = "\x92\x02\xdf\x7f\xff\xff\xff";
     EXPECT_EQ(LrRecord_PeekTag(LrStr{map, 7}), -1);
 }
+
+// A later build may know more choices of a field that is open to them.
+TEST_F(RecordTest, AnUnknownChoiceOfAnOpenFieldIsItsDefault)
+{
+    LrForwardAnswerMsg answer;
+    LrRecord_Init(&LrForwardAnswerMsg_Descriptor, &answer);
+    answer.request_id = LrStr_FromC("r1");
+    answer.why = (LrDeclineReason)LR_DECLINE_COUNT;
+    g_byte_array_set_size(buffer, 0);
+    LrRecord_Pack(&LrForwardAnswerMsg_Descriptor, &answer, buffer);
+    LrForwardAnswerMsg read;
+    ASSERT_TRUE(LrRecord_Unpack(&LrForwardAnswerMsg_Descriptor,
+                                bytes(buffer->len), &read, arena, nullptr));
+    EXPECT_EQ(read.why, LR_DECLINE_UNSTATED);
+    EXPECT_TRUE(LrStr_EqualC(read.request_id, "r1"));
+}
