--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -497,7 +497,8 @@
                            reply_to.ptr, id);
 }
 
-/* Why this daemon takes no request of another one now. */
+/* Why this daemon takes no request of another one now; unstated if it takes
+ * some. */
 static LrDeclineReason
 own_decline_reason(const LrForward *forward)
 {
--- a/liblavenderrail/gateway_reach.c
+++ b/liblavenderrail/gateway_reach.c
@@ -126,6 +126,7 @@
     if (!LrGateway_IsCutOff(gateway)) {
         choose(&choice, RECENT_CHECKS, score_recency);
     }
+    /* The first choice counted the same ones. */
     choice.n_overloaded = 0;
     choose(&choice, LR_REACH_CHECKS - RECENT_CHECKS, score_random);
     if (choice.n < MIN(MIN_CHECKED, choice.n + choice.n_overloaded)) {
--- a/liblavenderrail/targets.c
+++ b/liblavenderrail/targets.c
@@ -135,6 +135,7 @@
     return (LrStr){.ptr = LrStr_Dup(text), .len = text.len};
 }
 
+/* Sets the address and the zone that the catalogue gives for the target. */
 static void
 set_place(LrTargets *targets, LrTarget *target, const LrTargetSpec *spec,
           LrTime now)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,6 +48,7 @@
 # Requests that may be on their way when a searcher asks a daemon for a pause,
 # and how many may reach it later than that.
 PAUSE_SLACK_S, PAUSE_RETRIES = 0.5, 2
+LONGEST_PAUSE_S = 3
 # From this many daemons of a zone on, some gather for the others, so that a
 # request does not tell which daemon sent it to a searcher.
 FORWARDING_DAEMONS = 8
@@ -395,7 +396,7 @@
             for name in self.said_leaving:
                 self.check_leaving(runs, name)
             for pause in self.pauses:
-                self.check_pause(shed, *pause)
+                self.check_pause(runs, shed, *pause)
 
     def daemons_of(self, runs, name, start):
         """Times of requests to a searcher since then, by the daemon asked."""
@@ -424,11 +425,14 @@
                 self.violate("leaving", "%s sent %d requests to %s late" % (
                     daemon, len(late), name))
 
-    def check_pause(self, shed, name, start, end, pause):
+    def check_pause(self, runs, shed, name, start, end, pause):
+        """What a searcher refused with a pause keeps its daemon away, also when
+        the searcher would take requests again."""
+        ran = self.daemons_of(runs, name, start)
         for daemon, times in self.daemons_of(shed, name, start).items():
-            times = sorted(at for at in times if at < end)
-            for first in times:
-                late = [at for at in times
+            arrived = times + ran[daemon]
+            for first in sorted(at for at in times if at < end):
+                late = [at for at in arrived
                         if first + PAUSE_SLACK_S < at < first + pause and
                         self.was_calm(daemon, first, at)]
                 if len(late) > PAUSE_RETRIES:
@@ -792,22 +796,30 @@
         self.left[name] = time.monotonic()
 
     async def fault_busy(self):
-        """Searchers refuse all requests and ask for a pause."""
+        """Searchers refuse all requests and ask for a pause. In a long one no
+        route names them for a while."""
         service = self.random.choice((*SHARDS, SINGLE))
         names = [name for name, of in self.searchers.items()
                  if of == service and name not in self.left]
         names = self.random.sample(names, self.random.randint(1, len(names)))
-        pause = self.random.randint(1, 3)
+        pause = self.random.randint(1, LONGEST_PAUSE_S)
         start = time.monotonic()
         for name in names:
             await self.control("fault?id=%s&name=retry_after&value=%d" % (
                 name, pause))
             await self.control("fault?id=%s&name=shed&value=100" % name)
-        await asyncio.sleep(self.random.uniform(1, 4))
+        refusing_s = self.random.uniform(1, 4)
+        if service in SHARDS and pause == LONGEST_PAUSE_S:
+            refusing_s /= 2
+        await asyncio.sleep(refusing_s)
         for name in names:
             await self.control("fault?id=%s&name=shed&value=0" % name)
             await self.control("fault?id=%s&name=retry_after&value=0" % name)
             self.pauses.append((name, start, time.monotonic(), pause))
+        if service in SHARDS and pause == LONGEST_PAUSE_S:
+            await self.put_config([of for of in SHARDS if of != service])
+            await asyncio.sleep(refusing_s / 4)
+            await self.put_config(SHARDS)
 
     async def fault_release(self):
         """A searcher is replaced: the new one starts, the old one drains."""
