gateway_reach: overloaded targets are checked, too

Found by reading the diff: where links hang, every target keeps requests waiting, so all of them counted as overloaded after half a second and none was checked any more. A doubt that the first round of checks had not settled would have stayed one.

--- a/liblavenderrail/gateway_reach.c
+++ b/liblavenderrail/gateway_reach.c
@@ -3,9 +3,6 @@
 #include "gateway_private.h"
 
 enum {
-    /* Targets that have to be checked at once, or all where there are fewer:
-     * a few may fail for reasons of their own. */
-    MIN_CHECKED = 3,
     /* Of the checked targets in doubt, those that replied last: they were up a
      * moment ago. The others are drawn, since what those share, such as a
      * request that crashes them, may have brought them down. */
@@ -19,8 +16,6 @@
     /* Those with the highest score are chosen, up to this number. */
     double (*score)(const LrGateway *gateway, const LrTarget *target);
     size_t limit;
-    /* Targets that could be checked if they were not overloaded. */
-    size_t n_overloaded;
     struct {
         LrTarget *target;
         double score;
@@ -88,10 +83,6 @@
     if (!is_checkable(choice, target)) {
         return;
     }
-    if (LrTargets_IsOverloaded(target, choice->now)) {
-        choice->n_overloaded++;
-        return;
-    }
     double score = choice->score(choice->gateway, target);
     size_t at = choice->n;
     while (at > choice->first && choice->rows[at - 1].score < score) {
@@ -126,12 +117,7 @@
     if (!LrGateway_IsCutOff(gateway)) {
         choose(&choice, RECENT_CHECKS, score_recency);
     }
-    /* The first choice counted the same ones. */
-    choice.n_overloaded = 0;
     choose(&choice, LR_REACH_CHECKS - RECENT_CHECKS, score_random);
-    if (choice.n < MIN(MIN_CHECKED, choice.n + choice.n_overloaded)) {
-        return;
-    }
     for (size_t i = 0; i < choice.n; i++) {
         LrGateway_CheckReach(gateway, choice.rows[i].target);
     }
