gateway_reach: a crash of an overloaded target still raises doubt of the links

Found by reading the diff: a rejected connection to an overloaded target was passed over altogether, also where a request had broken there. A daemon whose links are reset while its targets are busy would have taken them as crashed without a doubt that the links are at fault.

Change: only the evidence against the links is passed over; a broken request raises doubt as before.

--- a/liblavenderrail/gateway_reach.c
+++ b/liblavenderrail/gateway_reach.c
@@ -166,9 +166,13 @@
     if (end == LR_UPSTREAM_OK || end == LR_UPSTREAM_MALFORMED) {
         LrTargetReach_OnNewConnection(gateway->reach, now);
     }
-    else if (target && !LrGateway_MayBeOverloaded(target, end, now)) {
-        LrTargetReach_OnConnectFailed(gateway->reach, target->index,
-                                      end == LR_UPSTREAM_CONNECT_TIMEOUT, now);
+    else if (target) {
+        if (!LrGateway_MayBeOverloaded(target, end, now)) {
+            LrTargetReach_OnConnectFailed(gateway->reach, target->index,
+                                          end == LR_UPSTREAM_CONNECT_TIMEOUT,
+                                          now);
+        }
+        /* An overloaded target may have crashed as well. */
         if (target->n_broken_requests > 0) {
             LrTargetReach_OnTargetDown(gateway->reach, now);
         }
