--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -257,11 +256,22 @@
 
 
 def render(template, fields):
-    return re.sub(r"\{\{([^}]*)\}\}",
-                  lambda m: "" if m[1][0] in "#/" else fields.get(m[1], ""),
+    """Fills in fields, and leaves out sections whose field has no value."""
+    template = re.sub(r"\{\{#([^}]*)\}\}(.*?)\{\{/\1\}\}",
+                      lambda m: m[2] if fields.get(m[1]) else "", template)
+    return re.sub(r"\{\{([^}]*)\}\}", lambda m: fields.get(m[1], ""),
                   template)
 
 
+def read_role():
+    """Command, template and environment of the deploy file's only role."""
+    text = (ROOT / "deploy/system.toml").read_text()
+    role = dict(re.findall(r'^(run|template) = "([^"]*)"', text, re.M))
+    env = re.search(r"^env = \{(.*)\}$", text, re.M)
+    role["env"] = dict(re.findall(r'(\w+) = "([^"]*)"', env[1] if env else ""))
+    return role
+
+
 class Daemon:
     """One daemon, started as the deploy file says."""
 
@@ -269,8 +279,7 @@
         self.record, self.name = record, name
         self.front, self.ready = free_port(), free_port()
         self.peer = seeds[name]
-        role = next(iter(tomllib.loads(
-            (ROOT / "deploy/system.toml").read_text())["roles"].values()))
+        role = read_role()
         fields = BOUNDS | {
             "node_name": name, "zone": zone,
             "listen.front": f"127.0.0.1:{self.front}",
@@ -288,7 +297,7 @@
         self.environ = {"PATH": os.environ["PATH"],
                         "LAVENDERRAIL_BOOT": str(self.settings)}
         self.environ |= {key: render(value, fields)
-                         for key, value in role.get("env", {}).items()}
+                         for key, value in role["env"].items()}
         self.process = None
 
     async def start(self):
