fleet: catalogue_sync: tell why a host lags behind a configuration

The logs could not tell the hypotheses of the incident apart: neither bytes nor times of what hosts read and give each other were known.

--- a/liblavenderrail/active_catalogue.c
+++ b/liblavenderrail/active_catalogue.c
@@ -56,17 +56,18 @@
 
 static void
 accept(LrActiveCatalogue *active, LrValueSet *values, LrCatalogue *catalogue,
-       const char *source)
+       const char *source, LrTime began_at)
 {
     replace_values(active, values);
     LrCatalogue_Unref(active->catalogue);
     active->catalogue = LrCatalogue_Ref(catalogue);
-    active->accepted_at = LrClock_Now();
     LrCounters_Add(active->config.counters, LR_COUNT_CATALOGUE_ACCEPTED, 1);
+    active->config.on_accepted(active->config.data, catalogue);
+    active->accepted_at = LrClock_Now();
     LR_LOG(active->config.log, LOG_NOTICE, "catalogue_accepted",
            LrLog_Int("revision", catalogue->spec.revision),
-           LrLog_CStr("source", source));
-    active->config.on_accepted(active->config.data, catalogue);
+           LrLog_CStr("source", source),
+           LrLog_Int("ms", (active->accepted_at - began_at) / LR_MILLISECOND));
 }
 
 /* Zones are evacuated also by values whose configuration is invalid. */
@@ -86,6 +87,7 @@
          int64_t min_revision)
 {
     int64_t revision = LrValueSet_Revision(values);
+    LrTime began_at = LrClock_Now();
     LrFaults *faults = LrFaults_New();
     LrCatalogue *catalogue =
         active->config.build(values, active->catalogue, faults);
@@ -99,7 +101,7 @@
         LrValueSet_Free(values);
     }
     else if (catalogue) {
-        accept(active, values, catalogue, source);
+        accept(active, values, catalogue, source, began_at);
     }
     else {
         replace_values(active, values);
--- a/liblavenderrail/daemon.c
+++ b/liblavenderrail/daemon.c
@@ -5,6 +5,7 @@
 #include "forward.h"
 #include "gateway.h"
 #include "active_catalogue.h"
+#include "catalogue_sync.h"
 #include "zone_detector.h"
 
 #include <jansson.h>
@@ -538,6 +539,7 @@
     daemon->ledger = LrLedger_New((size_t)settings->ledger_slots);
     daemon->engine = new_engine(daemon);
     daemon->active_catalogue = new_active_catalogue(daemon);
+    daemon->catalogue_sync = LrCatalogueSync_New(daemon);
     daemon->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                              free_sent_attempt);
     daemon->client = LrClient_New(loop, 0, (size_t)settings->max_body_bytes);
@@ -595,6 +597,7 @@
     LrAggregators_Free(daemon->aggregators);
     LrDelegates_Free(daemon->delegates);
     LrPeerAvailability_Free(daemon->peer_availability);
+    LrCatalogueSync_Free(daemon->catalogue_sync);
     LrActiveCatalogue_Free(daemon->active_catalogue);
     g_free(daemon);
 }
--- a/liblavenderrail/daemon.h
+++ b/liblavenderrail/daemon.h
@@ -36,6 +36,7 @@
     ev_timer timer;
 } LrPendingRequest;
 
+typedef struct LrCatalogueSync LrCatalogueSync;
 typedef struct LrRelay LrRelay;
 typedef struct LrHandoff LrHandoff;
 
@@ -51,6 +52,7 @@
     LrClient *client;
     const LrDeployment *deployment;
     LrActiveCatalogue *active_catalogue;
+    LrCatalogueSync *catalogue_sync;
     /* Reader of the configuration service; the deployment defines its type. */
     void *source;
     LrGateway *gateway;
@@ -75,13 +77,10 @@
     /* Last time that the configuration service was read, by this daemon or,
      * as probes report, by another one; 0 for never. */
     LrTime service_read_at;
-    LrTime delta_asked_at;
     /* Hash of the evacuated zones; 0 for none. */
     uint64_t evacuations_digest;
     /* A peer's news of evacuated zones is being applied. */
     bool told_of_evacuations;
-    /* The last delta could not be applied: a full copy is requested next. */
-    bool need_full_copy;
     ev_timer engine_timer;
     ev_timer tick_timer;
     ev_timer stop_timer;
@@ -159,9 +158,6 @@
 /* fleet.c */
 bool LrFleet_Start(LrDaemon *daemon, GError **error);
 void LrFleet_Stop(LrDaemon *daemon);
-/* Requests the changes from a peer whose catalogue is newer. */
-void LrFleet_PullIfNewer(LrDaemon *daemon, LrStr address, int64_t revision,
-                         LrTime now);
 /* Probes every daemon of this zone at once, so that all of them learn without
  * delay what the probes report. */
 void LrFleet_ProbeZone(LrDaemon *daemon);
--- a/liblavenderrail/dump.c
+++ b/liblavenderrail/dump.c
@@ -1,6 +1,7 @@
 /* The daemon's state as JSON, for GET /state. */
 #include "daemon.h"
 
+#include "catalogue_sync.h"
 #include "cold_start.h"
 #include "fair_admission.h"
 #include "gateway.h"
@@ -177,6 +178,8 @@
     json_t *source = daemon->deployment->source->dump(daemon->source);
     json_object_update(json, source);
     json_decref(source);
+    json_object_set_new(json, "peers",
+                        LrCatalogueSync_Dump(daemon->catalogue_sync));
     return json;
 }
 
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -1,6 +1,6 @@
 /* Messages between the daemons of a fleet: dispatches incoming ones, and
- * propagates membership, the catalogue, crashes and quarantined requests,
- * leaving targets and rate limits of targets. */
+ * propagates membership, crashes and quarantined requests, leaving targets and
+ * rate limits of targets. */
 #include "daemon.h"
 
 #include <stdlib.h>
@@ -9,6 +9,7 @@
 #include <jansson.h>
 
 #include "aggregators.h"
+#include "catalogue_sync.h"
 #include "forward.h"
 #include "limited_targets.h"
 #include "zone_detector.h"
@@ -22,9 +23,6 @@
     MAX_LIMITS_PER_PROBE = 4,
 };
 
-/* An unanswered delta request is repeated after this time. */
-#define DELTA_REQUEST_TIMEOUT (2 * LR_SECOND)
-
 /* Peers are told of a target that said that it is leaving for this long after
  * the catalogue has dropped it: its entry may come back. */
 #define LEAVING_MEMORY (60 * LR_SECOND)
@@ -355,31 +353,6 @@
     daemon->told_of_evacuations = false;
 }
 
-static int64_t
-active_revision(const LrDaemon *daemon)
-{
-    return LrActiveCatalogue_Revision(daemon->active_catalogue);
-}
-
-void
-LrFleet_PullIfNewer(LrDaemon *daemon, LrStr address, int64_t revision,
-                    LrTime now)
-{
-    if (revision <= active_revision(daemon) ||
-        revision ==
-            LrActiveCatalogue_RefusedRevision(daemon->active_catalogue) ||
-        now - daemon->delta_asked_at < DELTA_REQUEST_TIMEOUT) {
-        return;
-    }
-    daemon->delta_asked_at = now;
-    LrDeltaRequestMsg request = {
-        .revision = daemon->need_full_copy ? 0 : active_revision(daemon),
-        .reply_to = daemon->settings.peer_address,
-    };
-    LrPeers_Send(daemon->peers, address, &LrDeltaRequestMsg_Descriptor,
-                 &request);
-}
-
 /* Records that a daemon of the sender's zone was heard from. The first update
  * of a probe describes its sender. */
 static void
@@ -410,56 +383,10 @@
     apply_limits(daemon, message, now);
     apply_evacuations(daemon, message);
     if (message->n_news > 0) {
-        LrFleet_PullIfNewer(daemon, message->news[0].address,
-                            message->revision, now);
-    }
-}
-
-static void
-send_delta(LrDaemon *daemon, LrStr address, int64_t since)
-{
-    LrArena *arena = LrArena_New();
-    LrDeltaMsg delta;
-    LrValueSet_MakeDelta(LrActiveCatalogue_Values(daemon->active_catalogue),
-                         since, LrClock_Now(), arena, &delta);
-    LrCounters_Add(daemon->counters, LR_COUNT_CATALOGUE_DELTAS, 1);
-    LrPeers_Send(daemon->peers, address, &LrDeltaMsg_Descriptor, &delta);
-    LrArena_Free(arena);
-}
-
-static void
-on_delta_request(LrDaemon *daemon, const LrDeltaRequestMsg *message)
-{
-    if (active_revision(daemon) > message->revision) {
-        send_delta(daemon, message->reply_to, message->revision);
-    }
-}
-
-static void
-on_delta(LrDaemon *daemon, const LrDeltaMsg *message)
-{
-    daemon->delta_asked_at = 0;
-    if (message->revision <= active_revision(daemon)) {
-        return;
-    }
-    LrTime now = LrClock_Now();
-    const LrValueSet *base =
-        LrActiveCatalogue_Values(daemon->active_catalogue);
-    LrValueSet *values = LrValueSet_ApplyDelta(base, message, now);
-    daemon->need_full_copy = values == NULL;
-    if (!values) {
-        LR_LOG(daemon->log, LOG_WARNING, "delta_unfit",
-               LrLog_Int("revision", message->revision),
-               LrLog_Int("since", message->since));
-        return;
-    }
-    if (LrRevision_Era(message->revision) >
-        LrRevision_Era(LrValueSet_Revision(base))) {
-        LrValueSet_HoldNewer(values, base, LR_INSTANCE_PREFIX, now,
-                             daemon->settings.absence_hold_ms *
-                                 LR_MILLISECOND);
+        LrCatalogueSync_OnNews(daemon->catalogue_sync,
+                               message->news[0].address, message->revision,
+                               now);
     }
-    LrActiveCatalogue_Offer(daemon->active_catalogue, values, "peer");
 }
 
 /* Peers that are sent one loan request. */
@@ -538,10 +465,10 @@
         on_probe(daemon, message);
         break;
     case LR_MSG_DELTA_REQUEST:
-        on_delta_request(daemon, message);
+        LrCatalogueSync_OnRequest(daemon->catalogue_sync, message);
         break;
     case LR_MSG_DELTA:
-        on_delta(daemon, message);
+        LrCatalogueSync_OnDelta(daemon->catalogue_sync, message);
         break;
     case LR_MSG_KEYED_CALL:
         LrKeyedCall_OnPeerCall(daemon, message);
--- a/liblavenderrail/forward.c
+++ b/liblavenderrail/forward.c
@@ -14,6 +14,7 @@
 #include "aggregators.h"
 #include "gateway_private.h"
 #include "active_catalogue.h"
+#include "catalogue_sync.h"
 #include "peer_availability.h"
 #include "zone_detector.h"
 
@@ -414,7 +415,8 @@
     LrDeclinedBy_Add(routed->declined_by, address);
     routed->n_given_back += forwarded->started;
     routed->n_spent = MAX(routed->n_spent, (unsigned)message->n_spent);
-    LrFleet_PullIfNewer(daemon, address, message->revision, now);
+    LrCatalogueSync_OnNews(daemon->catalogue_sync, address, message->revision,
+                           now);
     forward_elsewhere(forward, forwarded);
 }
 
@@ -563,8 +565,8 @@
            LrLog_CStr("why", LrDeclineReason_Names[why]));
     send_declined(forward, message->reply_to, message->id, message->request_id,
                   why, 0);
-    LrFleet_PullIfNewer(daemon, message->reply_to, message->revision,
-                        LrClock_Now());
+    LrCatalogueSync_OnNews(daemon->catalogue_sync, message->reply_to,
+                           message->revision, LrClock_Now());
 }
 
 /* Tells the daemon that forwarded a request to run it elsewhere: nothing of it
--- a/liblavenderrail/gateway.c
+++ b/liblavenderrail/gateway.c
@@ -68,7 +68,8 @@
            LrLog_Str("host_name", LrHttpMessage_Header(message, "Host")),
            LrLog_Str("path", LrHttpMessage_Path(message)),
            LrLog_Int("status", status),
-           LrLog_CStr("reason", LrReason_Names[reason]));
+           LrLog_CStr("reason", LrReason_Names[reason]),
+           LrLog_Int("config", gateway->config_version));
     answer_error(gateway, exchange, status,
                  status == LR_STATUS_UNAVAILABLE ? LrGateway_RetryAfter(reason)
                                                  : 0);
@@ -327,6 +328,14 @@
         .idle_timeout = spec->idle_timeout_ms * LR_MILLISECOND,
     };
     LrCallerServer_SetLimits(gateway->caller_server, &limits);
+    if (spec->version != gateway->config_version) {
+        gateway->config_version = spec->version;
+        gateway->config_version_since = LrClock_Now();
+        LR_LOG(gateway->daemon->log, LOG_NOTICE, "configuration_in_force",
+               LrLog_Int("version", spec->version),
+               LrLog_Int("routes", (int64_t)spec->n_routes),
+               LrLog_Int("revision", catalogue->spec.revision));
+    }
     if (LrRouting_IsHeld(catalogue)) {
         LR_LOG(gateway->daemon->log, LOG_WARNING, "configuration_kept",
                LrLog_Int("version", spec->version));
@@ -460,7 +469,13 @@
 LrGateway_Dump(const LrGateway *gateway)
 {
     return json_pack(
-        "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "target_reach",
+        "{s:I, s:I, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "config_version",
+        (json_int_t)gateway->config_version, "config_version_ms",
+        (json_int_t)(gateway->config_version_since > 0
+                         ? (LrClock_Now() - gateway->config_version_since) /
+                               LR_MILLISECOND
+                         : -1),
+        "target_reach",
         LrReachState_Names[LrTargetReach_State(gateway->reach)], "delegates",
         (json_int_t)LrDelegates_Count(gateway->daemon->delegates),
         "caller_connections",
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -36,6 +36,10 @@
     LrReachState reach_state;
     bool loss_told;
     LrForward *forward;
+    /* Version of the configuration that new requests are handled by, and
+     * since when. */
+    int64_t config_version;
+    LrTime config_version_since;
     /* Complete answers so far; a sample of them is logged. */
     uint64_t n_complete;
 };
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1935,6 +1935,8 @@
  * when that fails or too much is queued already. */
 bool LrPeers_Send(LrPeers *peers, LrStr address,
                   const LrRecordDescriptor *spec, const void *message);
+/* The same for a message that is packed already. */
+bool LrPeers_SendFrame(LrPeers *peers, LrStr address, const GByteArray *frame);
 /* Number of open connections, incoming and outgoing. */
 size_t LrPeers_Count(const LrPeers *peers);
 
--- a/liblavenderrail/peer.c
+++ b/liblavenderrail/peer.c
@@ -355,17 +355,13 @@
 }
 
 bool
-LrPeers_Send(LrPeers *peers, LrStr address, const LrRecordDescriptor *spec,
-             const void *message)
+LrPeers_SendFrame(LrPeers *peers, LrStr address, const GByteArray *frame)
 {
     Connection *connection = get_outgoing_connection(peers, address);
     if (!connection || connection->out->len > MAX_UNSENT_BYTES) {
         return false;
     }
-    GByteArray *frame = g_byte_array_new();
-    LrRecord_Pack(spec, message, frame);
     append_frame(connection, frame);
-    g_byte_array_unref(frame);
     connection->last_used_at = LrClock_Now();
     /* Writes without waiting for the event loop: handling the current event
      * may take longer than the network does. A broken connection is closed by
@@ -376,6 +372,17 @@
     return true;
 }
 
+bool
+LrPeers_Send(LrPeers *peers, LrStr address, const LrRecordDescriptor *spec,
+             const void *message)
+{
+    GByteArray *frame = g_byte_array_new();
+    LrRecord_Pack(spec, message, frame);
+    bool sent = LrPeers_SendFrame(peers, address, frame);
+    g_byte_array_unref(frame);
+    return sent;
+}
+
 /* Closes the oldest accepted connection without a hello message; false when
  * there is none. */
 static bool
