--- a/tests/routed.h
+++ b/tests/routed.h
@@ -124,6 +124,22 @@
     return listener;
 }
 
+// Routes of that many bytes of JSON, and one at which the last one begins.
+inline std::string
+many_routes(size_t bytes)
+{
+    std::string routes;
+    for (int i = 0; routes.size() < bytes; i++) {
+        std::string n = std::to_string(100000 + i);
+        routes += ",{\"name\":\"m" + n +
+                  "\",\"host\":\"q.example\",\"prefix\":\"/m" + n +
+                  "/department/\",\"type\":\"idempotent\","
+                  "\"timeout_ms\":1500,\"service\":\"c\","
+                  "\"max_attempts\":2}";
+    }
+    return routes;
+}
+
 class RoutedFleet {
   public:
     RoutedFleet(int first_port, int n_daemons, int zones = 3)
--- a/tests/tcp_proxy.h
+++ b/tests/tcp_proxy.h
@@ -3,7 +3,9 @@
 #define LAVENDERRAIL_TESTS_TCP_PROXY_H
 
 #include <arpa/inet.h>
+#include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <linux/filter.h>
 #include <map>
@@ -49,6 +51,14 @@
         close(listener_);
     }
 
+    // Passes on at most that many bytes a second of what each connection's
+    // accepting side sends; 0 for no limit.
+    void
+    limit_rate(size_t bytes_per_s)
+    {
+        rate_ = bytes_per_s;
+    }
+
     // HANG: packets are dropped, also those of new connections. RESET:
     // connections are reset, open and new ones. RESET_NEW: open ones go on.
     void
@@ -71,6 +81,7 @@
         std::string first;
         std::string source;
         bool hangs = false;
+        std::chrono::steady_clock::time_point next_at = {};
     };
 
     Cut
@@ -147,7 +158,16 @@
     move(Pair &pair, int from, int to)
     {
         char buffer[65536];
-        ssize_t got = recv(from, buffer, sizeof(buffer), MSG_DONTWAIT);
+        size_t max = sizeof(buffer);
+        if (from == pair.out && rate_ > 0) {
+            auto now = std::chrono::steady_clock::now();
+            if (now < pair.next_at) {
+                return true;
+            }
+            pair.next_at = now + RATE_STEP;
+            max = std::min(max, rate_ / STEPS_PER_S + 1);
+        }
+        ssize_t got = recv(from, buffer, max, MSG_DONTWAIT);
         if (got <= 0) {
             return got < 0 && errno == EAGAIN;
         }
@@ -172,6 +192,10 @@
                 fds.push_back({pair.in, POLLIN, 0});
                 fds.push_back({pair.out, POLLIN, 0});
             }
+            if (rate_ > 0) {
+                // What waits for its time would keep poll from waiting.
+                std::this_thread::sleep_for(RATE_STEP / 4);
+            }
             poll(fds.data(), fds.size(), 20);
             std::vector<Pair> kept;
             for (Pair &pair : pairs_) {
@@ -210,7 +234,11 @@
         }
     }
 
+    static constexpr size_t STEPS_PER_S = 100;
+    static constexpr std::chrono::milliseconds RATE_STEP{1000 / STEPS_PER_S};
+
     int to_;
+    std::atomic<size_t> rate_{0};
     Predicate drop_;
     int listener_;
     std::atomic<bool> stopping_{false};
--- /dev/null
+++ b/tests/test_configuration_propagation.cc
@@ -0,0 +1,84 @@
+// A large configuration on its way to the hosts: from the store to a reader,
+// and from one host to another. Nothing here depends on the speed of the
+// machine: what is counted is bytes, and who is waited for.
+#include "routed.h"
+
+namespace {
+
+constexpr int BASE = 29300;
+constexpr size_t CONFIG_BYTES = 400000;
+const char NO_STORE[] = "http://127.0.0.1:1";
+const char FIRST_ROUTE[] = "/m100000/department/x";
+const char ADDED_ROUTE[] = "/added/x";
+
+std::string
+added_route()
+{
+    return ",{\"name\":\"added\",\"host\":\"q.example\",\"prefix\":\"/added/"
+           "\","
+           "\"type\":\"idempotent\",\"timeout_ms\":1500,\"service\":\"c\","
+           "\"max_attempts\":2}";
+}
+
+class ConfigurationPropagation : public testing::Test {
+  protected:
+    static bool
+    is_in_force(const RoutedFleet &fleet, int host, const char *path)
+    {
+        return fleet.ask(host, path, "probe").status == 200;
+    }
+};
+
+} // namespace
+
+// A response that took longer than a call may wait was read from its start
+// again and again, though bytes kept coming.
+TEST_F(ConfigurationPropagation, AReaderWaitsForAsLongAsBytesKeepComing)
+{
+    constexpr int PROXY = 1;
+    // The response has a third more bytes than the configuration.
+    constexpr size_t SLOW_LINK = CONFIG_BYTES * 4 / 3 / 3;
+    RoutedFleet fleet(BASE, 0);
+    fleet.resize(1);
+    TcpProxy link(BASE + PROXY, BASE);
+    fleet.start(1, "http://" + fleet.address(PROXY));
+    fleet.setup();
+    ASSERT_TRUE(eventually([&] { return fleet.serves(1); }));
+    link.limit_rate(SLOW_LINK);
+    fleet.config(2, many_routes(CONFIG_BYTES));
+    EXPECT_TRUE(
+        eventually([&] { return is_in_force(fleet, 1, FIRST_ROUTE); }));
+}
+
+// Hosts passed the whole configuration on for each change of it.
+TEST_F(ConfigurationPropagation, AChangeOfOneRouteCostsPeersNoWholeCopy)
+{
+    constexpr int N = 5;
+    constexpr int N_READERS = 2;
+    RoutedFleet fleet(BASE + 10, N_READERS, 1);
+    fleet.resize(N);
+    for (int i = N_READERS + 1; i <= N; i++) {
+        fleet.start(i, NO_STORE);
+    }
+    fleet.setup(many_routes(CONFIG_BYTES));
+    for (int i = 1; i <= N; i++) {
+        ASSERT_TRUE(eventually([&] {
+            return is_in_force(fleet, i, FIRST_ROUTE);
+        })) << i;
+    }
+    auto sum = [&](const char *name) {
+        long total = 0;
+        for (int i = 1; i <= N; i++) {
+            total += fleet.counter(i, name);
+        }
+        return total;
+    };
+    long bytes = sum("catalogue_delta_bytes");
+    fleet.config(2, many_routes(CONFIG_BYTES) + added_route());
+    for (int i = 1; i <= N; i++) {
+        EXPECT_TRUE(eventually([&] {
+            return is_in_force(fleet, i, ADDED_ROUTE);
+        })) << i;
+    }
+    EXPECT_LT(sum("catalogue_delta_bytes") - bytes, (long)CONFIG_BYTES / 10);
+}
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -448,22 +448,6 @@
 
 namespace {
 
-// Routes of that many bytes of JSON, and one at which the last one begins.
-std::string
-many_routes(size_t bytes)
-{
-    std::string routes;
-    for (int i = 0; routes.size() < bytes; i++) {
-        std::string n = std::to_string(100000 + i);
-        routes += ",{\"name\":\"m" + n +
-                  "\",\"host\":\"q.example\",\"prefix\":\"/m" + n +
-                  "/department/\",\"type\":\"idempotent\","
-                  "\"timeout_ms\":1500,\"service\":\"c\","
-                  "\"max_attempts\":2}";
-    }
-    return routes;
-}
-
 } // namespace
 
 // Values come as base64 text, four bytes for three: a configuration of more
