client, platform: store: a response that keeps coming is waited for

Callers saw requests handled by a version replaced long before. A reader gave the whole of a response 1.5 s, a watch 0.7 s beyond its wait.

A silence that ends a transfer is looked at twice, since a step of the loop that took long leaves bytes unread.

--- a/liblavenderrail/client.c
+++ b/liblavenderrail/client.c
@@ -21,6 +21,10 @@
     MAX_HEAD_BYTES = 64 << 10,
 };
 
+/* A transfer whose silence is too long gets this much more time: after a step
+ * of the loop that took long, what has arrived is read first. */
+#define UNREAD_GRACE (50 * LR_MILLISECOND)
+
 typedef struct {
     LrClient *client;
     ev_io watcher;
@@ -46,6 +50,12 @@
     size_t max_body_bytes;
     size_t n_head_bytes;
     bool too_large;
+    ev_timer silence_timer;
+    LrTime response_timeout;
+    LrTime stall_timeout;
+    /* When the transfer began, or the last bytes of the body arrived. */
+    LrTime heard_at;
+    bool grace_given;
     LrTransferFunc done;
     void *data;
     TAILQ_ENTRY(LrTransfer) of_client;
@@ -56,6 +66,7 @@
 {
     LrClient *client = transfer->client;
     TAILQ_REMOVE(&client->transfers, transfer, of_client);
+    ev_timer_stop(client->loop, &transfer->silence_timer);
     curl_slist_free_all(transfer->headers);
     if (client->idle_handles->len < MAX_IDLE_HANDLES) {
         curl_easy_reset(transfer->easy);
@@ -280,6 +291,8 @@
         return 0;
     }
     g_byte_array_append(transfer->response, (const guint8 *)data, (guint)len);
+    transfer->heard_at = LrClock_Now();
+    transfer->grace_given = false;
     return len;
 }
 
@@ -344,6 +357,51 @@
     return CURL_SOCKOPT_OK;
 }
 
+static void
+set_silence_timer(LrTransfer *transfer, LrTime delay)
+{
+    struct ev_loop *loop = transfer->client->loop;
+    ev_now_update(loop);
+    ev_timer_stop(loop, &transfer->silence_timer);
+    ev_timer_set(&transfer->silence_timer, (double)delay / (double)LR_SECOND,
+                 0);
+    ev_timer_start(loop, &transfer->silence_timer);
+}
+
+static void
+on_silence(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    LrTransfer *transfer = timer->data;
+    LrTime limit = transfer->response->len > 0 ? transfer->stall_timeout
+                                               : transfer->response_timeout;
+    LrTime left = transfer->heard_at + limit - LrClock_Now();
+    if (left > 0) {
+        set_silence_timer(transfer, left);
+    }
+    else if (!transfer->grace_given) {
+        transfer->grace_given = true;
+        set_silence_timer(transfer, UNREAD_GRACE);
+    }
+    else {
+        finish_transfer(transfer, CURLE_OPERATION_TIMEDOUT);
+    }
+}
+
+static void
+watch_silence(LrTransfer *transfer, const LrTransferSpec *spec)
+{
+    transfer->response_timeout = spec->response_timeout;
+    transfer->stall_timeout = spec->stall_timeout;
+    transfer->heard_at = LrClock_Now();
+    ev_timer_init(&transfer->silence_timer, on_silence, 0, 0);
+    transfer->silence_timer.data = transfer;
+    if (spec->response_timeout > 0) {
+        set_silence_timer(transfer, spec->response_timeout);
+    }
+}
+
 LrTransfer *
 LrClient_Send(LrClient *client, const LrTransferSpec *spec)
 {
@@ -378,6 +436,7 @@
     if (spec->post) {
         set_body(transfer, spec);
     }
+    watch_silence(transfer, spec);
     curl_multi_add_handle(client->multi, easy);
     return transfer;
 }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1869,9 +1869,14 @@
     const char *const *headers;
     size_t n_headers;
     GBytes *body;
+    /* Of the whole transfer. */
     LrTime timeout;
     /* 0 when only timeout limits it. */
     LrTime connect_timeout;
+    /* Longest wait for the first byte of the response's body, and for each
+     * further one; 0 when only timeout limits it. */
+    LrTime response_timeout;
+    LrTime stall_timeout;
     /* Largest body of the response; 0 for the client's own limit. */
     size_t max_body_bytes;
     LrTransferFunc done;
--- a/tests/test_configuration_propagation.cc
+++ b/tests/test_configuration_propagation.cc
@@ -50,6 +50,27 @@
         eventually([&] { return is_in_force(fleet, 1, FIRST_ROUTE); }));
 }
 
+TEST_F(ConfigurationPropagation, AResponseThatStopsHalfwayIsGivenUp)
+{
+    constexpr int PROXY = 1;
+    RoutedFleet fleet(BASE + 40, 0);
+    fleet.resize(1);
+    TcpProxy link(BASE + 40 + PROXY, BASE + 40);
+    fleet.start(1, "http://" + fleet.address(PROXY));
+    fleet.setup();
+    ASSERT_TRUE(eventually([&] { return fleet.serves(1); }));
+    link.limit_rate(CONFIG_BYTES / 10);
+    fleet.config(2, many_routes(CONFIG_BYTES));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    link.cut("127.0.0.1", TcpProxy::Cut::HANG);
+    EXPECT_TRUE(
+        eventually([&] { return fleet.counter(1, "source_failures") > 0; }));
+    link.limit_rate(0);
+    link.cut("127.0.0.1", TcpProxy::Cut::NONE);
+    EXPECT_TRUE(
+        eventually([&] { return is_in_force(fleet, 1, FIRST_ROUTE); }));
+}
+
 // Hosts passed the whole configuration on for each change of it.
 TEST_F(ConfigurationPropagation, AChangeOfOneRouteCostsPeersNoWholeCopy)
 {
