value_set, catalogue_sync: pass on the changes of a long value as patches

Callers saw requests handled by a version replaced long before: for a change of one route, hosts passed the whole configuration on, 1 MB to each of 65 hosts from a peer of any zone.

A value keeps the last changes of its text as patches (text_patch: ranges of the former text and new bytes). A request names the long values that the daemon has, and gets the patches since then; a daemon that names none, as those of former builds, gets the text. The digest over the whole set decides, as before: what doesn't fit changes nothing, and the whole is requested.

MixedBuilds runs beside now, and a long configuration changes three times in each direction.

--- a/liblavenderrail/catalogue_sync.c
+++ b/liblavenderrail/catalogue_sync.c
@@ -72,6 +72,9 @@
         .revision = sync->need_full_copy ? 0 : active_revision(sync),
         .reply_to = daemon->settings.peer_address,
     };
+    LrValueBaseMsg bases[LR_MAX_DELTA_BASES];
+    request.bases = bases;
+    request.n_bases = LrValueSet_Bases(active_values(sync), bases);
     LrCounters_Add(daemon->counters, LR_COUNT_CATALOGUE_REQUESTS, 1);
     LR_LOG(daemon->log, LOG_INFO, "delta_requested",
            LrLog_Str("from", address),
@@ -106,8 +109,9 @@
     }
     LrArena *arena = LrArena_New();
     LrDeltaMsg delta;
-    LrValueSet_MakeDelta(active_values(sync), message->revision, LrClock_Now(),
-                         arena, &delta);
+    LrValueSet_MakeDeltaOnBases(active_values(sync), message->revision,
+                                message->bases, message->n_bases,
+                                LrClock_Now(), arena, &delta);
     GByteArray *frame = g_byte_array_new();
     LrRecord_Pack(&LrDeltaMsg_Descriptor, &delta, frame);
     LrCounters_Add(daemon->counters, LR_COUNT_CATALOGUE_DELTAS, 1);
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1302,6 +1302,83 @@
     .n_fields = G_N_ELEMENTS(LrProbeMsg_Fields),
 };
 
+static const LrFieldDescriptor LrPatchPieceMsg_Fields[] = {
+    {.name = "from",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrPatchPieceMsg, from),
+     .hint = "where the range begins, bytes",
+     .min = 0,
+     .max = 9007199254740991,
+     .fallback = 0},
+    {.name = "length",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrPatchPieceMsg, length),
+     .hint = "length of the range, bytes",
+     .min = 0,
+     .max = 9007199254740991,
+     .fallback = 0},
+    {.name = "text",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrPatchPieceMsg, text),
+     .hint = "bytes that follow the range",
+     .fallback_str = ""},
+};
+
+const LrRecordDescriptor LrPatchPieceMsg_Descriptor = {
+    .name = "LrPatchPieceMsg",
+    .size = sizeof(LrPatchPieceMsg),
+    .tag = 0,
+    .fields = LrPatchPieceMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrPatchPieceMsg_Fields),
+};
+
+static const LrFieldDescriptor LrTextPatchMsg_Fields[] = {
+    {.name = "base_revision",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrTextPatchMsg, base_revision),
+     .hint = "revision of the value with the earlier text",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+    {.name = "pieces",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrTextPatchMsg, pieces),
+     .hint = "the pieces of the new text, in order",
+     .count_offset = offsetof(LrTextPatchMsg, n_pieces),
+     .object = &LrPatchPieceMsg_Descriptor},
+};
+
+const LrRecordDescriptor LrTextPatchMsg_Descriptor = {
+    .name = "LrTextPatchMsg",
+    .size = sizeof(LrTextPatchMsg),
+    .tag = 0,
+    .fields = LrTextPatchMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrTextPatchMsg_Fields),
+};
+
+static const LrFieldDescriptor LrValueBaseMsg_Fields[] = {
+    {.name = "name",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrValueBaseMsg, name),
+     .hint = "name of the value",
+     .required = true},
+    {.name = "revision",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrValueBaseMsg, revision),
+     .hint = "revision that changed it last",
+     .required = true,
+     .min = 0,
+     .max = 9007199254740991},
+};
+
+const LrRecordDescriptor LrValueBaseMsg_Descriptor = {
+    .name = "LrValueBaseMsg",
+    .size = sizeof(LrValueBaseMsg),
+    .tag = 0,
+    .fields = LrValueBaseMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrValueBaseMsg_Fields),
+};
+
 static const LrFieldDescriptor LrValueMsg_Fields[] = {
     {.name = "name",
      .kind = LR_FIELD_STR,
@@ -1332,6 +1409,12 @@
      .offset = offsetof(LrValueMsg, extra),
      .hint = "what builds before it do not know of the value, JSON text; in no digest",
      .fallback_str = ""},
+    {.name = "patches",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrValueMsg, patches),
+     .hint = "instead of the text: patches to apply one after the other, the first one to the value that the request named",
+     .count_offset = offsetof(LrValueMsg, n_patches),
+     .object = &LrTextPatchMsg_Descriptor},
 };
 
 const LrRecordDescriptor LrValueMsg_Descriptor = {
@@ -1355,6 +1438,12 @@
      .offset = offsetof(LrDeltaRequestMsg, reply_to),
      .hint = "peer IP:port of the sender",
      .required = true},
+    {.name = "bases",
+     .kind = LR_FIELD_LIST,
+     .offset = offsetof(LrDeltaRequestMsg, bases),
+     .hint = "long values of the sender's, which may be answered with patches",
+     .count_offset = offsetof(LrDeltaRequestMsg, n_bases),
+     .object = &LrValueBaseMsg_Descriptor},
 };
 
 const LrRecordDescriptor LrDeltaRequestMsg_Descriptor = {
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -566,6 +566,36 @@
 extern const LrRecordDescriptor LrProbeMsg_Descriptor;
 #define LR_MSG_PROBE 2
 
+/* A piece of a text: a range of the text that a patch applies to, then bytes that are new. */
+typedef struct {
+    /* where the range begins, bytes */
+    int64_t from;
+    /* length of the range, bytes */
+    int64_t length;
+    /* bytes that follow the range */
+    LrStr text;
+} LrPatchPieceMsg;
+extern const LrRecordDescriptor LrPatchPieceMsg_Descriptor;
+
+/* Makes the text of a value from that of an earlier revision. */
+typedef struct {
+    /* revision of the value with the earlier text */
+    int64_t base_revision;
+    /* the pieces of the new text, in order */
+    LrPatchPieceMsg *pieces;
+    size_t n_pieces;
+} LrTextPatchMsg;
+extern const LrRecordDescriptor LrTextPatchMsg_Descriptor;
+
+/* A value that a daemon has, and that changes of it can be sent for. */
+typedef struct {
+    /* name of the value */
+    LrStr name;
+    /* revision that changed it last */
+    int64_t revision;
+} LrValueBaseMsg;
+extern const LrRecordDescriptor LrValueBaseMsg_Descriptor;
+
 /* One named value of the catalogue. */
 typedef struct {
     /* service/NAME or entry/NAME */
@@ -578,6 +608,9 @@
     int64_t held_ms;
     /* what builds before it do not know of the value, JSON text; in no digest */
     LrStr extra;
+    /* instead of the text: patches to apply one after the other, the first one to the value that the request named */
+    LrTextPatchMsg *patches;
+    size_t n_patches;
 } LrValueMsg;
 extern const LrRecordDescriptor LrValueMsg_Descriptor;
 
@@ -587,6 +620,9 @@
     int64_t revision;
     /* peer IP:port of the sender */
     LrStr reply_to;
+    /* long values of the sender's, which may be answered with patches */
+    LrValueBaseMsg *bases;
+    size_t n_bases;
 } LrDeltaRequestMsg;
 extern const LrRecordDescriptor LrDeltaRequestMsg_Descriptor;
 #define LR_MSG_DELTA_REQUEST 3
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -394,6 +394,17 @@
  * time are gone. Texts are borrowed from the set. */
 void LrValueSet_MakeDelta(const LrValueSet *set, int64_t since, LrTime now,
                           LrArena *arena, LrDeltaMsg *delta);
+/* Long values that a daemon names in one request. */
+enum { LR_MAX_DELTA_BASES = 16 };
+/* Fills the list with the long values; returns their number. */
+size_t LrValueSet_Bases(const LrValueSet *set,
+                        LrValueBaseMsg bases[LR_MAX_DELTA_BASES]);
+/* The same for a receiver that has these long values: of those it gets the
+ * changes, where they are known, instead of the text. */
+void LrValueSet_MakeDeltaOnBases(const LrValueSet *set, int64_t since,
+                                 const LrValueBaseMsg *bases, size_t n_bases,
+                                 LrTime now, LrArena *arena,
+                                 LrDeltaMsg *delta);
 /* A new set with the delta applied; NULL when the delta is for another
  * revision or the digests differ. */
 LrValueSet *LrValueSet_ApplyDelta(const LrValueSet *set,
--- a/liblavenderrail/value_set.c
+++ b/liblavenderrail/value_set.c
@@ -1,9 +1,10 @@
 /* The named values of a catalogue, each with the revision of its last change.
  *
  * A new set is built as a copy and activated as a whole. A delta holds the
- * values that changed after a revision, so the size of an update depends on
- * what changed and not on the catalogue. A digest over names, revisions and
- * texts shows whether applying a delta gave the same set.
+ * values that changed after a revision, and of a long text only the changes,
+ * so the size of an update depends on what changed and not on the catalogue. A
+ * digest over names, revisions and texts shows whether applying a delta gave
+ * the same set.
  *
  * The evacuated zones are values that are in no delta and no digest: builds
  * before them neither read them from the service nor count them, so that their
@@ -12,18 +13,36 @@
 #include "lavenderrail.h"
 
 #include "routing.h"
+#include "text_patch.h"
 
 #include <string.h>
 
 /* Tombstones of removed values; the oldest is dropped when there are more. */
 enum { MAX_TOMBSTONES = 1024 };
 
+enum {
+    /* Changes of values that are longer than this are passed on as patches. */
+    MIN_PATCHED_BYTES = 8 << 10,
+    /* Longest text that patches may make, as long as a frame between peers. */
+    MAX_PATCHED_BYTES = 16 << 20,
+    /* Former texts of a value for which the patches are kept. */
+    MAX_PATCHES = 16,
+};
+
 /* Entries that a restored service has of targets which have left lapse within
  * this time, and targets that are alive have written again what was lost. */
 #define RESTORED_HOLD (5 * LR_SECOND)
 
 #define ERA_FACTOR (LR_MAX_SERVICE_REVISION + 1)
 
+/* How the text of a value was made from a former one. */
+typedef struct {
+    int refs;
+    /* Revision of the value with the former text. */
+    int64_t base_revision;
+    LrTextPatch *patch;
+} ValueChange;
+
 typedef struct {
     char *name;
     int64_t revision;
@@ -31,6 +50,9 @@
     size_t len;
     /* NULL for none. */
     char *extra;
+    /* The latest changes of the text, oldest first; NULL for a short text or
+     * one without known changes. */
+    GPtrArray *changes;
     int refs;
 } Value;
 
@@ -80,6 +102,16 @@
     return revision % ERA_FACTOR;
 }
 
+static void
+unref_change(gpointer data)
+{
+    ValueChange *change = data;
+    if (--change->refs == 0) {
+        LrTextPatch_Unref(change->patch);
+        g_free(change);
+    }
+}
+
 static void
 unref_value(gpointer data)
 {
@@ -87,6 +119,9 @@
     if (--value->refs > 0) {
         return;
     }
+    if (value->changes) {
+        g_ptr_array_unref(value->changes);
+    }
     g_free(value->name);
     g_free(value->text);
     g_free(value->extra);
@@ -207,12 +242,66 @@
     LrValueSet_SetWithExtra(set, name, revision, text, LrStr_FromC(""));
 }
 
+/* Takes over the patch, and the changes of the former value that are not too
+ * old: patches that together are longer than half of the text are dropped, and
+ * so is the oldest one beyond the limit. */
+static void
+set_changes(Value *value, const Value *former, LrTextPatch *patch)
+{
+    size_t n_bytes = LrTextPatch_Size(patch);
+    ValueChange *change = g_new0(ValueChange, 1);
+    change->refs = 1;
+    change->base_revision = former->revision;
+    change->patch = patch;
+    value->changes = g_ptr_array_new_with_free_func(unref_change);
+    guint n = former->changes ? former->changes->len : 0;
+    guint first = n;
+    while (first > 0 && n - first + 1 < MAX_PATCHES) {
+        const ValueChange *older = former->changes->pdata[first - 1];
+        n_bytes += LrTextPatch_Size(older->patch);
+        if (n_bytes > value->len / 2) {
+            break;
+        }
+        first--;
+    }
+    for (guint i = first; i < n; i++) {
+        ValueChange *kept = former->changes->pdata[i];
+        kept->refs++;
+        g_ptr_array_add(value->changes, kept);
+    }
+    g_ptr_array_add(value->changes, change);
+}
+
+static bool
+is_long(const Value *value)
+{
+    return value->len >= MIN_PATCHED_BYTES;
+}
+
+static void
+note_change(Value *value, const Value *former)
+{
+    if (!former || !is_long(former) || !is_long(value) ||
+        former->revision >= value->revision) {
+        return;
+    }
+    LrStr base = {.ptr = former->text, .len = former->len};
+    LrStr text = {.ptr = value->text, .len = value->len};
+    LrTextPatch *patch = LrTextPatch_Make(base, text);
+    if (LrTextPatch_Size(patch) > value->len / 2) {
+        LrTextPatch_Unref(patch);
+        return;
+    }
+    set_changes(value, former, patch);
+}
+
 void
 LrValueSet_SetWithExtra(LrValueSet *set, const char *name, int64_t revision,
                         LrStr text, LrStr extra)
 {
     Value *value = new_value(name, revision, text);
     value->extra = extra.len > 0 ? LrStr_Dup(extra) : NULL;
+    note_change(value, g_tree_lookup(set->values, name));
     g_tree_remove(set->held, name);
     g_tree_replace(set->values, value->name, value);
 }
@@ -622,11 +711,56 @@
 typedef struct {
     const LrValueSet *set;
     int64_t since;
+    /* Values that the receiver can apply patches to. */
+    const LrValueBaseMsg *bases;
+    size_t n_bases;
     LrTime now;
+    LrArena *arena;
     LrValueMsg *items;
     size_t n;
 } Changes;
 
+/* Revision of the value that the receiver has; -1 when it named none. */
+static int64_t
+base_revision_of(const Changes *changes, const Value *value)
+{
+    for (size_t i = 0; i < changes->n_bases; i++) {
+        if (LrStr_EqualC(changes->bases[i].name, value->name)) {
+            return changes->bases[i].revision;
+        }
+    }
+    return -1;
+}
+
+/* Replaces the text by patches, if those since the receiver's value are
+ * known. */
+static void
+use_patches(const Changes *changes, const Value *value, LrValueMsg *item)
+{
+    int64_t base_revision = base_revision_of(changes, value);
+    guint n = value->changes ? value->changes->len : 0;
+    guint first = 0;
+    while (
+        first < n &&
+        ((const ValueChange *)value->changes->pdata[first])->base_revision !=
+            base_revision) {
+        first++;
+    }
+    if (first == n) {
+        return;
+    }
+    item->text = LrStr_FromC("");
+    item->n_patches = n - first;
+    item->patches = LrArena_Alloc(changes->arena,
+                                  item->n_patches * sizeof(LrTextPatchMsg));
+    for (guint i = first; i < n; i++) {
+        const ValueChange *change = value->changes->pdata[i];
+        LrTextPatchMsg *patch = &item->patches[i - first];
+        patch->base_revision = change->base_revision;
+        LrTextPatch_ToMessage(change->patch, patch);
+    }
+}
+
 static void
 add_change(Changes *changes, const Value *value)
 {
@@ -645,6 +779,9 @@
         held->until > changes->now) {
         item->held_ms = (held->until - changes->now) / LR_MILLISECOND;
     }
+    if (changes->since > 0) {
+        use_patches(changes, value, item);
+    }
 }
 
 static gboolean
@@ -656,9 +793,45 @@
     return FALSE;
 }
 
+typedef struct {
+    LrValueBaseMsg *bases;
+    size_t n;
+} Bases;
+
+static gboolean
+add_base(gpointer name, gpointer data, gpointer user)
+{
+    const Value *value = data;
+    Bases *bases = user;
+    if (is_long(value) && bases->n < LR_MAX_DELTA_BASES) {
+        bases->bases[bases->n++] = (LrValueBaseMsg){
+            .name = LrStr_FromC(name),
+            .revision = value->revision,
+        };
+    }
+    return FALSE;
+}
+
+size_t
+LrValueSet_Bases(const LrValueSet *set,
+                 LrValueBaseMsg bases[LR_MAX_DELTA_BASES])
+{
+    Bases found = {.bases = bases};
+    g_tree_foreach(set->values, add_base, &found);
+    return found.n;
+}
+
 void
 LrValueSet_MakeDelta(const LrValueSet *set, int64_t since, LrTime now,
                      LrArena *arena, LrDeltaMsg *delta)
+{
+    LrValueSet_MakeDeltaOnBases(set, since, NULL, 0, now, arena, delta);
+}
+
+void
+LrValueSet_MakeDeltaOnBases(const LrValueSet *set, int64_t since,
+                            const LrValueBaseMsg *bases, size_t n_bases,
+                            LrTime now, LrArena *arena, LrDeltaMsg *delta)
 {
     LrRecord_Init(&LrDeltaMsg_Descriptor, delta);
     if (since < set->compacted_revision || since > set->revision) {
@@ -669,7 +842,10 @@
     Changes changes = {
         .set = set,
         .since = since,
+        .bases = bases,
+        .n_bases = n_bases,
         .now = now,
+        .arena = arena,
         .items = LrArena_Alloc(arena, max_items * sizeof(LrValueMsg)),
     };
     for (guint i = 0; since > 0 && i < set->tombstones->len; i++) {
@@ -691,12 +867,68 @@
     return LrStr_EqualC(expected, digest);
 }
 
-static void
+/* The value that a patch makes from a former one; NULL when it doesn't fit. */
+static Value *
+make_patched(const Value *former, const LrTextPatchMsg *message,
+             int64_t revision)
+{
+    if (former->revision != message->base_revision) {
+        return NULL;
+    }
+    LrTextPatch *patch = LrTextPatch_FromMessage(message);
+    LrStr base = {.ptr = former->text, .len = former->len};
+    size_t len;
+    char *text = LrTextPatch_Apply(patch, base, MAX_PATCHED_BYTES, &len);
+    if (!text) {
+        LrTextPatch_Unref(patch);
+        return NULL;
+    }
+    Value *value = g_new0(Value, 1);
+    value->refs = 1;
+    value->name = g_strdup(former->name);
+    value->revision = revision;
+    value->text = text;
+    value->len = len;
+    set_changes(value, former, patch);
+    return value;
+}
+
+/* Replaces the text of a long value as the patches say, one after the other;
+ * false when they don't fit. */
+static bool
+apply_patches(LrValueSet *set, const char *name, const LrValueMsg *message)
+{
+    Value *value = g_tree_lookup(set->values, name);
+    if (value) {
+        value->refs++;
+    }
+    for (size_t i = 0; value && i < message->n_patches; i++) {
+        int64_t revision = i + 1 < message->n_patches
+                               ? message->patches[i + 1].base_revision
+                               : message->revision;
+        Value *former = value;
+        value = make_patched(former, &message->patches[i], revision);
+        unref_value(former);
+    }
+    if (!value) {
+        return false;
+    }
+    value->extra = message->extra.len > 0 ? LrStr_Dup(message->extra) : NULL;
+    g_tree_remove(set->held, name);
+    g_tree_replace(set->values, value->name, value);
+    return true;
+}
+
+/* False when patches don't fit the value that the set has. */
+static bool
 apply_value(LrValueSet *set, const LrValueMsg *value, LrTime now)
 {
     g_autofree char *name = LrStr_Dup(value->name);
     if (LrValueSet_IsEvacuation(name)) {
-        return;
+        return true;
+    }
+    if (value->n_patches > 0) {
+        return apply_patches(set, name, value);
     }
     if (value->text.len > 0) {
         LrValueSet_SetWithExtra(set, name, value->revision, value->text,
@@ -709,6 +941,7 @@
     else {
         LrValueSet_Remove(set, name, value->revision);
     }
+    return true;
 }
 
 LrValueSet *
@@ -720,11 +953,12 @@
     }
     LrValueSet *result =
         delta->since ? LrValueSet_Fork(set) : LrValueSet_New();
-    for (size_t i = 0; i < delta->n_values; i++) {
-        apply_value(result, &delta->values[i], now);
+    bool fits = true;
+    for (size_t i = 0; fits && i < delta->n_values; i++) {
+        fits = apply_value(result, &delta->values[i], now);
     }
     LrValueSet_SetRevision(result, delta->revision);
-    if (!digest_matches(result, delta->digest)) {
+    if (!fits || !digest_matches(result, delta->digest)) {
         LrValueSet_Free(result);
         return NULL;
     }
--- a/tests/test_mixed_builds.cc
+++ b/tests/test_mixed_builds.cc
@@ -134,6 +134,44 @@
     }
 }
 
+// Changes of a long configuration are passed on as patches, which the release
+// doesn't know: it gets and gives the whole.
+TEST_F(MixedBuilds, ChangesOfALongConfigurationPassBetweenTheBuilds)
+{
+    constexpr size_t CONFIG_BYTES = 300000;
+    int version = 1;
+    for (const std::vector<int> &old_hosts :
+         {std::vector<int>{1, 4, 5}, std::vector<int>{2, 3, 6}}) {
+        ASSERT_NO_FATAL_FAILURE(make(old_hosts));
+        fleet->config(++version, many_routes(CONFIG_BYTES));
+        // The readers run one build, the hosts without the store the other.
+        for (int i = 1; i <= N; i++) {
+            bool reads = std::find(old_hosts.begin(), old_hosts.end(), i) !=
+                         old_hosts.end();
+            if (!reads) {
+                fleet->daemons[(size_t)i].reset();
+                fleet->start(i, "http://127.0.0.1:1");
+            }
+        }
+        for (int change = 0; change < 3; change++) {
+            std::string path = "/only" + std::to_string(change) + "/";
+            std::string route =
+                ",{\"name\":\"only\",\"host\":\"q.example\",\"prefix\":\"" +
+                path +
+                "\",\"type\":\"idempotent\",\"timeout_ms\":1500,"
+                "\"service\":\"c\",\"max_attempts\":2}";
+            fleet->config(++version, many_routes(CONFIG_BYTES) + route);
+            for (int i = 1; i <= N; i++) {
+                EXPECT_TRUE(eventually([&] {
+                    return fleet->ask(i, path + "x", "probe").status == 200;
+                })) << "host "
+                    << i << " change " << change;
+            }
+        }
+        fleet.reset();
+    }
+}
+
 TEST_F(MixedBuilds, TargetsThatSayTheyAreLeavingAreKnownToBothBuilds)
 {
     ASSERT_NO_FATAL_FAILURE(make({1, 2, 3}));
--- a/tests/test_value_set.cc
+++ b/tests/test_value_set.cc
@@ -98,6 +98,222 @@
     LrValueSet_Free(set);
 }
 
+namespace {
+
+// A daemon that holds a long value, and what passes between two of them.
+class Holder {
+  public:
+    Holder() : set(LrValueSet_New()), arena(LrArena_New())
+    {
+    }
+    Holder(const Holder &other)
+        : set(LrValueSet_Fork(other.set)), arena(LrArena_New())
+    {
+    }
+    Holder &operator=(const Holder &) = delete;
+    ~Holder()
+    {
+        LrArena_Free(arena);
+        LrValueSet_Free(set);
+    }
+    void
+    write(int64_t revision, const std::vector<std::string> &routes)
+    {
+        std::string text = "{\"version\":" + std::to_string(revision);
+        for (const std::string &route : routes) {
+            text += ",{\"name\":\"" + route + "\",\"timeout_ms\":1500}";
+        }
+        text += "}";
+        LrValueSet_SetRevision(set, revision);
+        LrValueSet_Set(set, "config", revision,
+                       LrStr{text.data(), text.size()});
+    }
+    LrDeltaMsg
+    answer(const Holder &asking) const
+    {
+        LrValueBaseMsg bases[LR_MAX_DELTA_BASES];
+        size_t n_bases = LrValueSet_Bases(asking.set, bases);
+        LrDeltaMsg delta;
+        LrValueSet_MakeDeltaOnBases(set, LrValueSet_Revision(asking.set),
+                                    bases, n_bases, NOW, arena, &delta);
+        return delta;
+    }
+    // False when the delta doesn't fit; nothing changes then.
+    bool
+    take(const LrDeltaMsg &delta)
+    {
+        LrValueSet *result = LrValueSet_ApplyDelta(set, &delta, NOW);
+        if (!result) {
+            return false;
+        }
+        LrValueSet_Free(set);
+        set = result;
+        return true;
+    }
+    bool
+    operator==(const Holder &other) const
+    {
+        return LrValueSet_Digest(set) == LrValueSet_Digest(other.set) &&
+               LrStr_Equal(LrValueSet_Get(set, "config"),
+                           LrValueSet_Get(other.set, "config"));
+    }
+
+    LrValueSet *set;
+    LrArena *arena;
+};
+
+size_t
+packed_size(const LrDeltaMsg &delta)
+{
+    GByteArray *frame = g_byte_array_new();
+    LrRecord_Pack(&LrDeltaMsg_Descriptor, &delta, frame);
+    size_t size = frame->len;
+    g_byte_array_unref(frame);
+    return size;
+}
+
+std::vector<std::string>
+route_names(int n)
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < n; i++) {
+        names.push_back("route-" + std::to_string(i));
+    }
+    return names;
+}
+
+constexpr int N_ROUTES = 2000;
+
+} // namespace
+
+TEST(ValueSetPatches, AChangeOfOneRouteIsAsLongAsTheRoute)
+{
+    Holder ahead;
+    std::vector<std::string> routes = route_names(N_ROUTES);
+    ahead.write(1, routes);
+    Holder behind(ahead);
+    routes[700] = "changed";
+    routes.insert(routes.begin() + 100, "added");
+    routes.erase(routes.begin() + 1500);
+    ahead.write(2, routes);
+    LrDeltaMsg delta = ahead.answer(behind);
+    EXPECT_LT(packed_size(delta), 400u);
+    ASSERT_TRUE(behind.take(delta));
+    EXPECT_TRUE(behind == ahead);
+}
+
+TEST(ValueSetPatches, DaemonsBehindByAnyNumberOfChangesGetTheSame)
+{
+    LrRandom *random = LrRandom_New(5);
+    Holder ahead;
+    std::vector<std::string> routes = route_names(N_ROUTES);
+    std::vector<Holder> behind;
+    for (int64_t revision = 1; revision <= 30; revision++) {
+        routes[LrRandom_Below(random, N_ROUTES)] =
+            "changed-" + std::to_string(revision);
+        ahead.write(revision, routes);
+        behind.push_back(ahead);
+    }
+    int patched = 0;
+    for (Holder &holder : behind) {
+        LrDeltaMsg delta = ahead.answer(holder);
+        patched += delta.n_values > 0 && delta.values[0].n_patches > 0;
+        ASSERT_TRUE(holder.take(delta));
+        EXPECT_TRUE(holder == ahead);
+    }
+    EXPECT_GE(patched, 15);
+    EXPECT_LT(patched, 29) << "old patches are kept for ever";
+    LrRandom_Free(random);
+}
+
+// What was learnt by a patch can be passed on as one, also to a daemon that is
+// at a revision in between.
+TEST(ValueSetPatches, PatchesArePassedOn)
+{
+    std::vector<std::string> routes = route_names(N_ROUTES);
+    Holder first;
+    first.write(1, routes);
+    Holder second(first);
+    Holder third(first);
+    routes[5] = "b";
+    first.write(2, routes);
+    Holder between(first);
+    routes[6] = "c";
+    first.write(3, routes);
+    ASSERT_TRUE(second.take(first.answer(second)));
+    for (Holder *last : {&third, &between}) {
+        LrDeltaMsg delta = second.answer(*last);
+        EXPECT_LT(packed_size(delta), 600u);
+        ASSERT_TRUE(last->take(delta));
+        EXPECT_TRUE(*last == first);
+    }
+}
+
+TEST(ValueSetPatches, ADaemonThatNamesNoValueGetsTheText)
+{
+    Holder ahead;
+    std::vector<std::string> routes = route_names(N_ROUTES);
+    ahead.write(1, routes);
+    Holder behind(ahead);
+    routes[9] = "changed";
+    ahead.write(2, routes);
+    LrDeltaMsg delta;
+    LrValueSet_MakeDelta(ahead.set, 1, NOW, ahead.arena, &delta);
+    EXPECT_EQ(delta.values[0].n_patches, 0u);
+    ASSERT_TRUE(behind.take(delta));
+    EXPECT_TRUE(behind == ahead);
+}
+
+TEST(ValueSetPatches, PiecesThatAreLostRepeatedOrUnfittingChangeNothing)
+{
+    std::vector<std::string> routes = route_names(N_ROUTES);
+    Holder ahead;
+    ahead.write(1, routes);
+    const Holder behind(ahead);
+    for (int64_t revision = 2; revision <= 4; revision++) {
+        routes[(size_t)(500 * revision - 1) % N_ROUTES] =
+            "changed-" + std::to_string(revision);
+        ahead.write(revision, routes);
+    }
+    LrDeltaMsg whole = ahead.answer(behind);
+    LrTextPatchMsg *patches = whole.values[0].patches;
+    ASSERT_EQ(whole.values[0].n_patches, 3u);
+    std::vector<std::vector<LrTextPatchMsg>> variants = {
+        {patches[0], patches[1]},
+        {patches[1], patches[2]},
+        {patches[0], patches[2]},
+        {patches[0], patches[0], patches[1], patches[2]},
+        {patches[0], patches[2], patches[1]},
+    };
+    for (std::vector<LrTextPatchMsg> &variant : variants) {
+        LrDeltaMsg delta = whole;
+        LrValueMsg value = whole.values[0];
+        value.patches = variant.data();
+        value.n_patches = variant.size();
+        delta.values = &value;
+        Holder receiver(behind);
+        bool taken = receiver.take(delta);
+        EXPECT_TRUE(receiver == (taken ? ahead : behind));
+        // To apply a patch twice may give the same text.
+        EXPECT_FALSE(taken && variant.size() <= 3);
+    }
+    LrPatchPieceMsg *piece = &patches[1].pieces[1];
+    for (int64_t from : {piece->from + 1, (int64_t)1 << 40}) {
+        LrPatchPieceMsg kept = *piece;
+        piece->from = from;
+        Holder receiver(behind);
+        EXPECT_FALSE(receiver.take(whole));
+        EXPECT_TRUE(receiver == behind);
+        *piece = kept;
+    }
+    Holder other;
+    other.write(1, route_names(N_ROUTES - 1));
+    EXPECT_FALSE(other.take(whole)) << "another text at the same revision";
+    Holder receiver(behind);
+    ASSERT_TRUE(receiver.take(whole));
+    EXPECT_TRUE(receiver == ahead);
+}
+
 static int
 count_used(const LrValueSet *set)
 {
