catalogue_sync: compress long answers to requests for changes

Routes repeat their member names.

A request says that it accepts LrPackedDeltaMsg, the answer deflated by zlib (libglib2.0-dev brings its headers along already); builds that do not say so get what they got. What can't be inflated counts as a delta that does not fit: the whole is requested.

--- a/liblavenderrail/catalogue_sync.h
+++ b/liblavenderrail/catalogue_sync.h
@@ -18,6 +18,8 @@
 void LrCatalogueSync_OnRequest(LrCatalogueSync *sync,
                                const LrDeltaRequestMsg *message);
 void LrCatalogueSync_OnDelta(LrCatalogueSync *sync, const LrDeltaMsg *message);
+void LrCatalogueSync_OnPackedDelta(LrCatalogueSync *sync,
+                                   const LrPackedDeltaMsg *message);
 /* JSON object for the state dump: the newest revision that was heard of, and
  * why it is not the active one. */
 struct json_t *LrCatalogueSync_Dump(const LrCatalogueSync *sync);
--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -31,6 +31,7 @@
     [LR_MSG_PROBE] = &LrProbeMsg_Descriptor,
     [LR_MSG_DELTA_REQUEST] = &LrDeltaRequestMsg_Descriptor,
     [LR_MSG_DELTA] = &LrDeltaMsg_Descriptor,
+    [LR_MSG_PACKED_DELTA] = &LrPackedDeltaMsg_Descriptor,
     [LR_MSG_KEYED_CALL] = &LrKeyedCallMsg_Descriptor,
     [LR_MSG_KEYED_CALL_ANSWER] = &LrKeyedCallAnswerMsg_Descriptor,
     [LR_MSG_RELAY] = &LrRelayMsg_Descriptor,
@@ -470,6 +471,9 @@
     case LR_MSG_DELTA:
         LrCatalogueSync_OnDelta(daemon->catalogue_sync, message);
         break;
+    case LR_MSG_PACKED_DELTA:
+        LrCatalogueSync_OnPackedDelta(daemon->catalogue_sync, message);
+        break;
     case LR_MSG_KEYED_CALL:
         LrKeyedCall_OnPeerCall(daemon, message);
         break;
--- a/liblavenderrail/gen/records.c
+++ b/liblavenderrail/gen/records.c
@@ -1444,6 +1444,11 @@
      .hint = "long values of the sender's, which may be answered with patches",
      .count_offset = offsetof(LrDeltaRequestMsg, n_bases),
      .object = &LrValueBaseMsg_Descriptor},
+    {.name = "accepts_packed",
+     .kind = LR_FIELD_BOOL,
+     .offset = offsetof(LrDeltaRequestMsg, accepts_packed),
+     .hint = "the answer may be compressed",
+     .fallback = 0},
 };
 
 const LrRecordDescriptor LrDeltaRequestMsg_Descriptor = {
@@ -1454,6 +1459,29 @@
     .n_fields = G_N_ELEMENTS(LrDeltaRequestMsg_Fields),
 };
 
+static const LrFieldDescriptor LrPackedDeltaMsg_Fields[] = {
+    {.name = "size",
+     .kind = LR_FIELD_INT,
+     .offset = offsetof(LrPackedDeltaMsg, size),
+     .hint = "bytes of the message before it was compressed",
+     .required = true,
+     .min = 1,
+     .max = 16777216},
+    {.name = "data",
+     .kind = LR_FIELD_STR,
+     .offset = offsetof(LrPackedDeltaMsg, data),
+     .hint = "the message, compressed with zlib",
+     .required = true},
+};
+
+const LrRecordDescriptor LrPackedDeltaMsg_Descriptor = {
+    .name = "LrPackedDeltaMsg",
+    .size = sizeof(LrPackedDeltaMsg),
+    .tag = 19,
+    .fields = LrPackedDeltaMsg_Fields,
+    .n_fields = G_N_ELEMENTS(LrPackedDeltaMsg_Fields),
+};
+
 static const LrFieldDescriptor LrDeltaMsg_Fields[] = {
     {.name = "since",
      .kind = LR_FIELD_INT,
--- a/liblavenderrail/gen/records.h
+++ b/liblavenderrail/gen/records.h
@@ -623,10 +623,22 @@
     /* long values of the sender's, which may be answered with patches */
     LrValueBaseMsg *bases;
     size_t n_bases;
+    /* the answer may be compressed */
+    bool accepts_packed;
 } LrDeltaRequestMsg;
 extern const LrRecordDescriptor LrDeltaRequestMsg_Descriptor;
 #define LR_MSG_DELTA_REQUEST 3
 
+/* Compressed form of a long LrDeltaMsg, for daemons that accept it. */
+typedef struct {
+    /* bytes of the message before it was compressed */
+    int64_t size;
+    /* the message, compressed with zlib */
+    LrStr data;
+} LrPackedDeltaMsg;
+extern const LrRecordDescriptor LrPackedDeltaMsg_Descriptor;
+#define LR_MSG_PACKED_DELTA 19
+
 /* Catalogue changes since a revision. */
 typedef struct {
     /* revision that the delta applies to; 0 for none */
--- a/tests/test_configuration_propagation.cc
+++ b/tests/test_configuration_propagation.cc
@@ -20,6 +20,32 @@
            "\"max_attempts\":2}";
 }
 
+// Sends a daemon frames as a peer does.
+void
+send_as_peer(const RoutedFleet &fleet, int host,
+             const LrRecordDescriptor *spec, const void *message)
+{
+    constexpr int PEER_PORT = 2;
+    LrHelloMsg hello = {};
+    hello.protocol = 1;
+    hello.name = LrStr_FromC("stranger");
+    RawCaller peer(fleet.port(host) + PEER_PORT);
+    for (auto [descriptor, record] :
+         {std::pair<const LrRecordDescriptor *, const void *>(
+              &LrHelloMsg_Descriptor, &hello),
+          {spec, message}}) {
+        GByteArray *frame = g_byte_array_new();
+        LrRecord_Pack(descriptor, record, frame);
+        uint32_t length = htonl(frame->len);
+        peer.send(
+            std::string(reinterpret_cast<char *>(&length), sizeof(length)) +
+            std::string(reinterpret_cast<char *>(frame->data), frame->len));
+        g_byte_array_unref(frame);
+    }
+    // The daemon answers with its own hello message.
+    peer.is_closed();
+}
+
 class ConfigurationPropagation : public testing::Test {
   protected:
     static bool
@@ -95,6 +121,7 @@
         return total;
     };
     long bytes = sum("catalogue_delta_bytes");
+    EXPECT_LT(bytes, (long)CONFIG_BYTES) << "whole copies are compressed";
     fleet.config(2, many_routes(CONFIG_BYTES) + added_route());
     for (int i = 1; i <= N; i++) {
         EXPECT_TRUE(eventually([&] {
@@ -103,3 +130,38 @@
     }
     EXPECT_LT(sum("catalogue_delta_bytes") - bytes, (long)CONFIG_BYTES / 10);
 }
+
+TEST_F(ConfigurationPropagation, ADeltaThatCannotBeReadIsFollowedByTheWhole)
+{
+    constexpr int LEARNER = 2;
+    RoutedFleet fleet(BASE + 80, 1, 1);
+    fleet.resize(LEARNER);
+    fleet.start(LEARNER, NO_STORE);
+    fleet.setup(many_routes(CONFIG_BYTES));
+    ASSERT_TRUE(
+        eventually([&] { return is_in_force(fleet, LEARNER, FIRST_ROUTE); }));
+    auto needs_whole = [&] {
+        return http(fleet.operators(LEARNER, "/state"))
+                   .body.find("\"need_full_copy\": true") != std::string::npos;
+    };
+    std::string garbage = "no zlib stream";
+    LrPackedDeltaMsg message = {};
+    message.data = {garbage.data(), garbage.size()};
+    for (int64_t size : {(int64_t)1, (int64_t)16 << 20}) {
+        message.size = size;
+        send_as_peer(fleet, LEARNER, &LrPackedDeltaMsg_Descriptor, &message);
+        EXPECT_TRUE(eventually(needs_whole));
+        std::string path = "/after" + std::to_string(size) + "/";
+        fleet.config(size == 1 ? 2 : 3,
+                     many_routes(CONFIG_BYTES) +
+                         ",{\"name\":\"after\",\"host\":\"q.example\","
+                         "\"prefix\":\"" +
+                         path +
+                         "\",\"type\":\"idempotent\",\"timeout_ms\":1500,"
+                         "\"service\":\"c\",\"max_attempts\":2}");
+        EXPECT_TRUE(eventually([&] {
+            return is_in_force(fleet, LEARNER, (path + "x").c_str());
+        }));
+        EXPECT_FALSE(needs_whole());
+    }
+}
