config_watcher: wait for a response that keeps coming

The native service's reader had the same fault as the platform's: it gave the whole of a response 5 s, so a value or manifest that needs longer on its link was read from the start again for ever. The limits hold for the first byte and for silences now, as in platform/store; tests/test_fleet passes, and no test of its own plays a slow native service.

--- a/liblavenderrail/config_watcher.c
+++ b/liblavenderrail/config_watcher.c
@@ -16,6 +16,9 @@
 /* Added to the time that a long poll may wait at the service. */
 #define LONG_POLL_SLACK (5 * LR_SECOND)
 #define READ_TIMEOUT (5 * LR_SECOND)
+/* Of a whole call: large values take long on slow links, and to give up while
+ * they arrive means to read them from the start again. */
+#define CALL_TIMEOUT (60 * LR_SECOND)
 
 typedef struct {
     LrConfigWatcher *watcher;
@@ -74,7 +77,9 @@
 {
     LrTransferSpec spec = {
         .url = url,
-        .timeout = timeout,
+        .timeout = CALL_TIMEOUT + timeout,
+        .response_timeout = timeout,
+        .stall_timeout = READ_TIMEOUT,
         .max_body_bytes = watcher->config.max_value_bytes,
         .done = done,
         .data = watcher,
