--- a/cli/trace.c
+++ b/cli/trace.c
@@ -20,9 +20,8 @@
 } EventText;
 
 static const EventText EVENT_TEXTS[] = {
-    {"request_refused",
-     "refused with {status} before any attempt: {reason} "
-     "({host_name}{path}), configuration {config}"},
+    {"request_refused", "refused with {status} before any attempt: {reason} "
+                        "({host_name}{path}), configuration {config}"},
     {"request_forwarded", "handed to the aggregator {aggregator}"},
     {"request_delegated", "no target is reached here: handed to {aggregator}"},
     {"forward_refused", "not accepted: {why}"},
--- a/liblavenderrail/catalogue_sync.c
+++ b/liblavenderrail/catalogue_sync.c
@@ -151,18 +151,20 @@
 pack(const GByteArray *frame)
 {
     uLongf len = compressBound(frame->len);
-    g_autofree Bytef *data = g_malloc(len);
-    if (compress2(data, &len, frame->data, frame->len, COMPRESSION_LEVEL) !=
-            Z_OK ||
-        len >= frame->len) {
-        return NULL;
+    GByteArray *data = g_byte_array_new();
+    g_byte_array_set_size(data, (guint)len);
+    int status = compress2(data->data, &len, frame->data, frame->len,
+                           COMPRESSION_LEVEL);
+    GByteArray *packed = NULL;
+    if (status == Z_OK && len < frame->len) {
+        LrPackedDeltaMsg message = {
+            .size = frame->len,
+            .data = {.ptr = (const char *)data->data, .len = len},
+        };
+        packed = g_byte_array_new();
+        LrRecord_Pack(&LrPackedDeltaMsg_Descriptor, &message, packed);
     }
-    LrPackedDeltaMsg message = {
-        .size = frame->len,
-        .data = {.ptr = (const char *)data, .len = len},
-    };
-    GByteArray *packed = g_byte_array_new();
-    LrRecord_Pack(&LrPackedDeltaMsg_Descriptor, &message, packed);
+    g_byte_array_unref(data);
     return packed;
 }
 
@@ -238,10 +240,12 @@
                               const LrPackedDeltaMsg *message)
 {
     uLongf len = (uLongf)message->size;
-    g_autofree Bytef *bytes = g_malloc(len);
-    int status = uncompress(bytes, &len, (const Bytef *)message->data.ptr,
-                            message->data.len);
-    LrStr frame = {.ptr = (const char *)bytes, .len = len};
+    GByteArray *bytes = g_byte_array_new();
+    g_byte_array_set_size(bytes, (guint)len);
+    int status =
+        uncompress(bytes->data, &len, (const Bytef *)message->data.ptr,
+                   message->data.len);
+    LrStr frame = {.ptr = (const char *)bytes->data, .len = len};
     LrArena *arena = LrArena_New();
     LrDeltaMsg delta;
     if (status == Z_OK && LrRecord_PeekTag(frame) == LR_MSG_DELTA &&
@@ -252,6 +256,7 @@
         reject(sync, -1, -1);
     }
     LrArena_Free(arena);
+    g_byte_array_unref(bytes);
 }
 
 void
--- a/liblavenderrail/json_scan.c
+++ b/liblavenderrail/json_scan.c
@@ -184,7 +184,6 @@
 bool
 LrJsonScan_SplitArray(LrStr text, const char *name, LrJsonSplit *split)
 {
-    static const char EMPTY_ARRAY[] = "[]";
     Wanted wanted = {.name = name};
     if (!LrJsonScan_Object(text, find_member, &wanted) ||
         wanted.n_found != 1 || wanted.value.ptr[0] != '[') {
@@ -193,7 +192,7 @@
     size_t before = (size_t)(wanted.value.ptr - text.ptr);
     const char *after = wanted.value.ptr + wanted.value.len;
     GString *rest = g_string_new_len(text.ptr, (gssize)before);
-    g_string_append(rest, EMPTY_ARRAY);
+    g_string_append(rest, "[]");
     g_string_append_len(rest, after, text.ptr + text.len - after);
     split->array = wanted.value;
     split->rest_len = rest->len;
