readers: a daemon that has lost its peers reads the service soon

A daemon that hears from no peer reads the service itself, but only after the time that suspected peers are given, which grows with the fleet: 0.3 s x 4 x log2(72), 7.4 s at 71 hosts, where a change may take 5 s. Probes are answered in each interval whatever the size, so five silent intervals (1.5 s) are enough.

--- a/liblavenderrail/fleet.c
+++ b/liblavenderrail/fleet.c
@@ -566,7 +566,9 @@
         .zone_rank = LrMembers_ZoneRank(daemon->members),
         .readers_per_zone = (unsigned)settings->readers_per_zone,
         .peer_silence = now - daemon->last_probe_at,
-        .peer_timeout = LrMembers_SuspicionTimeout(daemon->members),
+        .peer_timeout =
+            LrReaders_PeerTimeout(LrMembers_SuspicionTimeout(daemon->members),
+                                  settings->probe_ms * LR_MILLISECOND),
         .freshest_read_age = config_age_ms(daemon, now) * LR_MILLISECOND,
         .watch_wait = settings->watch_wait_ms * LR_MILLISECOND,
     };
--- a/liblavenderrail/readers.c
+++ b/liblavenderrail/readers.c
@@ -15,6 +15,15 @@
  * come ten seconds after the start at the earliest. */
 #define FIRST_START_WAIT (5 * LR_SECOND)
 
+/* A probe is answered in each interval, whatever the size of the fleet. */
+#define MAX_SILENT_INTERVALS 5
+
+LrTime
+LrReaders_PeerTimeout(LrTime suspicion_timeout, LrTime probe_interval)
+{
+    return MIN(suspicion_timeout, MAX_SILENT_INTERVALS * probe_interval);
+}
+
 static bool
 waits_for_peers(const LrReaderInput *input)
 {
--- a/liblavenderrail/readers.h
+++ b/liblavenderrail/readers.h
@@ -33,6 +33,10 @@
     LrTime watch_wait;
 } LrReaderInput;
 
+/* Silence of all peers after which a daemon counts as alone. It may be the
+ * only one that has lost them, and the service may still be in reach, so it
+ * must not wait for as long as a suspected peer is given in a large fleet. */
+LrTime LrReaders_PeerTimeout(LrTime suspicion_timeout, LrTime probe_interval);
 bool LrReaders_ShouldRead(const LrReaderInput *input);
 /* Whether the address is one of the seeds, a comma-separated list. */
 bool LrReaders_IsSeed(LrStr seeds, LrStr address);
--- a/tests/test_readers.cc
+++ b/tests/test_readers.cc
@@ -57,6 +57,23 @@
         << "callers come after ten seconds";
 }
 
+// A daemon that alone had lost its peers waited for 7 s in a fleet of 71
+// before it read the service, longer than a change may take.
+TEST(Readers, ADaemonThatLostItsPeersReadsSoonInAFleetOfAnySize)
+{
+    constexpr LrTime PROBE_INTERVAL = 300 * LR_MILLISECOND;
+    for (LrTime suspicion = LR_SECOND; suspicion < 12 * LR_SECOND;
+         suspicion += LR_SECOND) {
+        LrReaderInput input = default_input();
+        input.has_catalogue = true;
+        input.peer_timeout = LrReaders_PeerTimeout(suspicion, PROBE_INTERVAL);
+        input.peer_silence = 2 * LR_SECOND;
+        EXPECT_TRUE(LrReaders_ShouldRead(&input));
+        input.peer_silence = 3 * PROBE_INTERVAL;
+        EXPECT_FALSE(LrReaders_ShouldRead(&input));
+    }
+}
+
 TEST(Readers, ADaemonThatHearsFromNoPeerReads)
 {
     LrReaderInput input = default_input();
