gateway_check: no reach check at a service that the configuration dropped

By elimination, not by a trace: what a daemon sends without an id are checks, those at the health path are told apart, and only a reach check had another path, '/', when the service is in no configuration any more and running requests still hold its targets. Such targets are not checked now; those of the configuration are enough.

--- a/liblavenderrail/gateway_check.c
+++ b/liblavenderrail/gateway_check.c
@@ -167,19 +167,36 @@
     LrUpstream_Send(check->gateway->upstream, &spec);
 }
 
-/* Path of the health check of a service; empty when it has none. */
-static LrStr
-health_path(const LrGateway *gateway, LrStr service)
+/* The service in the configuration in force; NULL when that has none of the
+ * name. */
+static const LrPoolSpec *
+find_pool(const LrGateway *gateway, LrStr service)
 {
     LrView *view = LrEngine_View(gateway->daemon->engine);
     const LrRoutingSpec *spec =
         LrRoutes_Spec(LrRouting_Routes(view->catalogue));
     for (size_t i = 0; i < spec->n_pools; i++) {
         if (LrStr_Equal(spec->pools[i].name, service)) {
-            return spec->pools[i].health_path;
+            return &spec->pools[i];
         }
     }
-    return LrStr_FromC("");
+    return NULL;
+}
+
+/* Path of the health check of a service; empty when it has none. */
+static LrStr
+health_path(const LrGateway *gateway, LrStr service)
+{
+    const LrPoolSpec *pool = find_pool(gateway, service);
+    return pool ? pool->health_path : LrStr_FromC("");
+}
+
+bool
+LrGateway_IsInConfiguration(const LrGateway *gateway, const LrTarget *target)
+{
+    const LrGroup *group =
+        target->groups->len > 0 ? target->groups->pdata[0] : NULL;
+    return group && find_pool(gateway, group->name);
 }
 
 static Check *
--- a/liblavenderrail/gateway_private.h
+++ b/liblavenderrail/gateway_private.h
@@ -116,6 +116,11 @@
 /* Creates the set of running checks. */
 GHashTable *LrGateway_NewChecks(void);
 
+/* Whether the configuration in force has the target's service: running
+ * requests may still use one that it has dropped, whose health path is
+ * unknown. */
+bool LrGateway_IsInConfiguration(const LrGateway *gateway,
+                                 const LrTarget *target);
 /* Checks on a new connection whether any answer comes from the target, and
  * tells the gateway's LrTargetReach. */
 void LrGateway_CheckReach(LrGateway *gateway, const LrTarget *target);
--- a/liblavenderrail/gateway_reach.c
+++ b/liblavenderrail/gateway_reach.c
@@ -68,7 +68,8 @@
             return false;
         }
     }
-    return !target->relay && target->groups->len > 0 &&
+    return !target->relay &&
+           LrGateway_IsInConfiguration(choice->gateway, target) &&
            !LrTargets_IsLeaving(target, choice->now) &&
            !LrTargets_IsPaused(target, choice->now) &&
            !LrTargets_IsMisdirected(target, choice->now);
