soak: configurations that grow on slow links

The soak's configurations had four routes, and its links no limit of rate, so no run could show the incident's trouble.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -61,6 +61,9 @@
 # Nothing reaches an evacuated zone later than this; seeds divisible by the
 # number evacuate zones, so that the schedules of the others stay as they were.
 EVACUATE_S, EVACUATING_SEEDS = 5.0, 5
+# Seeds divisible by this one let the configuration grow, to as many routes, on
+# links that are as slow as those of the smallest hosts.
+GROWING_SEEDS, MAX_EXTRA_ROUTES, SLOW_LINK_BYTES_PER_S = 11, 4000, 1250000
 SO_ATTACH_FILTER = 26
 CUT_KINDS = ("hang", "reset", "reset-new")
 
@@ -87,6 +90,7 @@
         self.port, self.target, self.mode = port, target, "pass"
         self.links = set()
         self.cut_source, self.cut_kind = "", ""
+        self.bytes_per_s = None
 
     def cut(self, source, kind):
         self.cut_source, self.cut_kind = source, kind
@@ -135,6 +139,8 @@
                     await asyncio.sleep(0.02)
                 if self.mode == "delay":
                     await asyncio.sleep(0.05)
+                if self.bytes_per_s:
+                    await asyncio.sleep(len(data) / self.bytes_per_s)
                 writer.write(data)
                 await writer.drain()
         except OSError:
@@ -186,6 +192,8 @@
         self.crash_lock = asyncio.Lock()
         self.restore_lock = asyncio.Lock()
         self.configs = []
+        self.grows = options.seed % GROWING_SEEDS == 0
+        self.extra_routes = 0
         self.disturbed_until = {}
         # Daemons that a fault kept from taking part: name, start, end.
         self.disturbances = []
@@ -310,6 +318,8 @@
                  type="non_idempotent"),
             dict(route, name="mark", prefix="/v%d/" % version,
                  service=SINGLE)]
+        routes += [dict(route, name="extra%d" % n, prefix="/extra%d/" % n,
+                        service=SINGLE) for n in range(self.extra_routes)]
         await self.control("config", json.dumps({
             "version": version, "routes": routes,
             "services": [{"name": name, "max_connections": 60,
@@ -373,8 +383,8 @@
         for run in runs:
             request = self.sent.get(run["id"])
             if not request:
-                self.violate("unasked", "%s ran at %s" % (
-                    run["id"], run["server"]))
+                self.violate("unasked", "%s ran at %s: %s" % (
+                    run["id"], run["server"], run["target"]))
                 continue
             if request["path"] != run["target"]:
                 self.violate("unasked", "%s ran as %s" % (
@@ -908,6 +918,15 @@
             await self.control("remove?key=" + key)
             await asyncio.sleep(rng.uniform(0.2, 2))
 
+    async def growths(self):
+        """Adds hundreds of routes again and again, with draws of its own."""
+        rng = random.Random("grow-%d" % self.options.seed)
+        while not self.stopping:
+            self.extra_routes = min(
+                MAX_EXTRA_ROUTES, self.extra_routes + rng.randrange(200, 1500))
+            await self.fault_config()
+            await asyncio.sleep(rng.uniform(0.2, 2))
+
     async def faults(self):
         kinds = [self.fault_kill, self.fault_stop, self.fault_pause,
                  self.fault_hangup, self.fault_link, self.fault_store,
@@ -960,6 +979,9 @@
             self.proxies["peer%d" % i] = Proxy(self.port(i, 4),
                                                self.port(i, 3))
             self.proxies["store%d" % i] = Proxy(self.port(i, 5), self.base)
+        if self.grows:
+            for proxy in self.proxies.values():
+                proxy.bytes_per_s = SLOW_LINK_BYTES_PER_S
         for proxy in self.proxies.values():
             await proxy.start()
         for service in (*SHARDS, SINGLE):
@@ -1030,11 +1052,17 @@
         if self.options.seed % EVACUATING_SEEDS == 0:
             evacuations = asyncio.create_task(self.evacuations())
             evacuations.add_done_callback(self.note_failure)
+        growths = None
+        if self.grows:
+            growths = asyncio.create_task(self.growths())
+            growths.add_done_callback(self.note_failure)
         await asyncio.sleep(self.options.seconds)
         self.stopping = True
         await faults
         if evacuations:
             await evacuations
+        if growths:
+            await growths
         await asyncio.gather(*callers)
         for proxy in self.proxies.values():
             proxy.mode = "pass"
