routing: a malformed list of routes is a fault

Found when reading the change: a list whose elements can't be told apart gave no catalogue and no fault, which counts as 'no configuration yet' and would have been accepted. What readers write is well-formed, and a peer's digest would have to agree, so nobody could see it. Routing.AListOfRoutesThatIsMalformedIsAFault covers it.

text_patch: a member that nothing read is gone.

--- a/liblavenderrail/routing.c
+++ b/liblavenderrail/routing.c
@@ -500,8 +500,12 @@
     bool valid = routes->json &&
                  LrRecord_ReadJson(&LrRoutingSpec_Descriptor, routes->json,
                                    &routes->spec, routes->arena, "$", faults);
-    return LrJsonScan_Array(split->array, add_parsed, &parser) && valid &&
-           parser.valid;
+    if (!LrJsonScan_Array(split->array, add_parsed, &parser)) {
+        LrFaults_Add(faults, "$.routes", "separate the routes by commas",
+                     "is not a list");
+        return false;
+    }
+    return valid && parser.valid;
 }
 
 /* Splits what can't be scanned as it is, for instance because of escapes in a
--- a/liblavenderrail/text_patch.c
+++ b/liblavenderrail/text_patch.c
@@ -22,10 +22,10 @@
     size_t n_bytes;
 };
 
-/* The pieces of a patch while it is made; texts are ranges of the new text. */
+/* The pieces of a patch while it is made; their texts are ranges of the new
+ * text. */
 typedef struct {
     LrStr base;
-    LrStr text;
     GArray *pieces;
     /* Segments of the base, and where each begins. */
     GHashTable *index;
@@ -131,7 +131,6 @@
 {
     Maker maker = {
         .base = base,
-        .text = text,
         .pieces = g_array_new(FALSE, TRUE, sizeof(LrPatchPieceMsg)),
         .index = g_hash_table_new(LrStr_TableHash, LrStr_TableEqual),
         .segments = g_array_new(FALSE, FALSE, sizeof(LrStr)),
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -288,6 +288,22 @@
     g_free(text);
 }
 
+// Without a fault it would count as no configuration, and be accepted.
+TEST_F(Routing, AListOfRoutesThatIsMalformedIsAFault)
+{
+    build();
+    for (const char *list : {"[{} {}]", "[{},]", "[,]", "[5]", "[{\"a\":}]"}) {
+        std::string other = "{\"version\":8,\"routes\":" + std::string(list) +
+                            ",\"pools\":[]}";
+        LrFaults *found = LrFaults_New();
+        LrValueSet_Set(store, LR_ROUTING_VALUE, 5,
+                       {other.data(), other.size()});
+        EXPECT_EQ(LrRouting_Build(store, catalogue, found), nullptr);
+        EXPECT_GT(LrFaults_Count(found), 0u) << list;
+        LrFaults_Free(found);
+    }
+}
+
 // Targets that come and go must not restart the weighted round robin of
 // backends.
 TEST_F(Routing, RoundRobinContinuesWhenTargetsChange)
