routing: keep the text that a split of an escaped configuration borrows from

Found when reading the change once more: where the name of the list of routes is written with escapes, the configuration is written anew and split, and that text was freed while the split still pointed into it.

--- a/liblavenderrail/routing.c
+++ b/liblavenderrail/routing.c
@@ -509,18 +509,18 @@
 }
 
 /* Splits what can't be scanned as it is, for instance because of escapes in a
- * name: written anew, a valid configuration can be. */
+ * name: written anew, a valid configuration can be. The split borrows from
+ * *normal, to be freed with free. */
 static bool
-split_unusual(LrStr text, LrJsonSplit *split, LrFaults *faults)
+split_unusual(LrStr text, LrJsonSplit *split, char **normal, LrFaults *faults)
 {
     json_t *json = LrRecord_ParseJson(text, faults);
     if (!json) {
         return false;
     }
-    char *dumped = json_dumps(json, JSON_COMPACT);
+    *normal = json_dumps(json, JSON_COMPACT);
     bool found =
-        LrJsonScan_SplitArray(LrStr_FromC(dumped), ROUTES_MEMBER, split);
-    free(dumped);
+        LrJsonScan_SplitArray(LrStr_FromC(*normal), ROUTES_MEMBER, split);
     if (!found) {
         /* Reports what is wrong with the routes, and all else. */
         LrRoutingSpec spec;
@@ -537,8 +537,10 @@
 parse_routes(LrStr text, const LrRoutes *previous, LrFaults *faults)
 {
     LrJsonSplit split;
+    char *normal = NULL;
     if (!LrJsonScan_SplitArray(text, ROUTES_MEMBER, &split) &&
-        !split_unusual(text, &split, faults)) {
+        !split_unusual(text, &split, &normal, faults)) {
+        free(normal);
         return NULL;
     }
     LrRoutes *routes = g_new0(LrRoutes, 1);
@@ -551,6 +553,7 @@
         g_hash_table_new(LrStr_TableHash, LrStr_TableEqual);
     bool valid = parse_split(routes, &split, previous, faults);
     g_free(split.rest);
+    free(normal);
     if (!valid) {
         unref_routes(routes);
         return NULL;
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -288,6 +288,17 @@
     g_free(text);
 }
 
+TEST_F(Routing, NamesWithEscapesAreRead)
+{
+    std::string escaped = CONFIG;
+    escaped.replace(escaped.find("\"routes\""), 8, "\"r\\u006futes\"");
+    LrValueSet_Set(store, LR_ROUTING_VALUE, 3,
+                   {escaped.data(), escaped.size()});
+    build();
+    ASSERT_NE(catalogue, nullptr);
+    EXPECT_EQ(lookup("a.example", "/x/y/1"), "deep");
+}
+
 // Without a fault it would count as no configuration, and be accepted.
 TEST_F(Routing, AListOfRoutesThatIsMalformedIsAFault)
 {
