tests: give configuration_propagation and routed ports of their own

Both programs run at the same time and used the ports from 29300 on; so did fleet and routed with 26961 to 26971. Run four at a time with each bind() recorded, the two programs failed again; with the new ports no program shares a port with one that it may run beside, and all four pass.

--- a/tests/test_configuration_propagation.cc
+++ b/tests/test_configuration_propagation.cc
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr int BASE = 29300;
+constexpr int BASE = 21600;
 constexpr size_t CONFIG_BYTES = 400000;
 const char NO_STORE[] = "http://127.0.0.1:1";
 const char FIRST_ROUTE[] = "/m100000/department/x";
--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -464,7 +464,7 @@
     constexpr long max_kb = MAX_PEAK_KB;
 #endif
     constexpr int N = 3;
-    RoutedFleet fleet(26950, N);
+    RoutedFleet fleet(21900, N);
     fleet.setup();
     for (int i = 1; i <= N; i++) {
         restart_measured(fleet, i);
