--- a/liblavenderrail/text_patch.c
+++ b/liblavenderrail/text_patch.c
@@ -14,7 +14,6 @@
 };
 
 struct LrTextPatch {
-    int refs;
     LrPatchPieceMsg *pieces;
     size_t n_pieces;
     /* Bytes of all pieces, which their texts point into. */
@@ -106,7 +105,6 @@
 new_patch(const LrPatchPieceMsg *pieces, size_t n)
 {
     LrTextPatch *patch = g_new0(LrTextPatch, 1);
-    patch->refs = 1;
     patch->n_pieces = n;
     patch->pieces = g_new(LrPatchPieceMsg, n + 1);
     for (size_t i = 0; i < n; i++) {
@@ -157,17 +155,10 @@
     return new_patch(message->pieces, message->n_pieces);
 }
 
-LrTextPatch *
-LrTextPatch_Ref(LrTextPatch *patch)
-{
-    patch->refs++;
-    return patch;
-}
-
 void
-LrTextPatch_Unref(LrTextPatch *patch)
+LrTextPatch_Free(LrTextPatch *patch)
 {
-    if (!patch || --patch->refs > 0) {
+    if (!patch) {
         return;
     }
     g_free(patch->pieces);
--- a/liblavenderrail/text_patch.h
+++ b/liblavenderrail/text_patch.h
@@ -15,8 +15,7 @@
 /* Patch that makes text from base. */
 LrTextPatch *LrTextPatch_Make(LrStr base, LrStr text);
 LrTextPatch *LrTextPatch_FromMessage(const LrTextPatchMsg *message);
-LrTextPatch *LrTextPatch_Ref(LrTextPatch *patch);
-void LrTextPatch_Unref(LrTextPatch *patch);
+void LrTextPatch_Free(LrTextPatch *patch);
 /* Fills a message that borrows from the patch. */
 void LrTextPatch_ToMessage(const LrTextPatch *patch, LrTextPatchMsg *message);
 /* Bytes that the patch takes on the wire, about. */
--- a/liblavenderrail/value_set.c
+++ b/liblavenderrail/value_set.c
@@ -107,7 +107,7 @@
 {
     ValueChange *change = data;
     if (--change->refs == 0) {
-        LrTextPatch_Unref(change->patch);
+        LrTextPatch_Free(change->patch);
         g_free(change);
     }
 }
@@ -289,7 +289,7 @@
     LrStr text = {.ptr = value->text, .len = value->len};
     LrTextPatch *patch = LrTextPatch_Make(base, text);
     if (LrTextPatch_Size(patch) > value->len / 2) {
-        LrTextPatch_Unref(patch);
+        LrTextPatch_Free(patch);
         return;
     }
     set_changes(value, former, patch);
@@ -880,7 +880,7 @@
     size_t len;
     char *text = LrTextPatch_Apply(patch, base, MAX_PATCHED_BYTES, &len);
     if (!text) {
-        LrTextPatch_Unref(patch);
+        LrTextPatch_Free(patch);
         return NULL;
     }
     Value *value = g_new0(Value, 1);
--- a/tests/test_text_patch.cc
+++ b/tests/test_text_patch.cc
@@ -54,8 +54,8 @@
         LrTextPatch *received = LrTextPatch_FromMessage(&message);
         EXPECT_EQ(patched(patch, base), text);
         EXPECT_EQ(patched(received, base), text);
-        LrTextPatch_Unref(received);
-        LrTextPatch_Unref(patch);
+        LrTextPatch_Free(received);
+        LrTextPatch_Free(patch);
     }
     LrRandom_Free(random);
 }
@@ -70,9 +70,9 @@
     EXPECT_EQ(patched(patch, base), base + base.substr(50) + "abc");
     EXPECT_EQ(patched(patch, base, 152), "none");
     EXPECT_EQ(patched(patch, base.substr(1)), "none");
-    LrTextPatch_Unref(patch);
+    LrTextPatch_Free(patch);
     pieces[1].from = INT64_MAX;
     patch = LrTextPatch_FromMessage(&message);
     EXPECT_EQ(patched(patch, base), "none");
-    LrTextPatch_Unref(patch);
+    LrTextPatch_Free(patch);
 }
