catalogue_sync: ask for a change while an unrelated long frame arrives

The cause came with: the check that keeps a request from being repeated while its answer arrives held back the first request too, and counted frames that began before it.

Now a host that waits for no answer asks at once, and only a frame that began after the request counts as its answer on the way.

ConfigurationPropagation.AnEndlessFrameDoesNotKeepADaemonFromAsking failed before (not in force after ten seconds); Peers checks that an older frame does not count.

--- a/liblavenderrail/catalogue_sync.c
+++ b/liblavenderrail/catalogue_sync.c
@@ -106,6 +106,16 @@
                  &request);
 }
 
+static bool
+is_waiting_for_answer(const LrCatalogueSync *sync, LrTime now)
+{
+    if (sync->asked_at == 0) {
+        return false;
+    }
+    return now - sync->asked_at < REQUEST_TIMEOUT ||
+           LrPeers_IsReceivingLong(sync->daemon->peers, sync->asked_at, now);
+}
+
 void
 LrCatalogueSync_OnNews(LrCatalogueSync *sync, LrStr address, int64_t revision,
                        LrTime now)
@@ -116,8 +126,7 @@
         return;
     }
     note_heard(sync, revision, now);
-    if (now - sync->asked_at >= REQUEST_TIMEOUT &&
-        !LrPeers_IsReceivingLong(sync->daemon->peers, now)) {
+    if (!is_waiting_for_answer(sync, now)) {
         send_request(sync, address, now);
     }
 }
--- a/liblavenderrail/lavenderrail.h
+++ b/liblavenderrail/lavenderrail.h
@@ -1955,8 +1955,9 @@
  * over a connection of its own, and its loss is not reported. */
 bool LrPeers_SendUnordered(LrPeers *peers, LrStr address,
                            const GByteArray *frame);
-/* Whether a part of a long message has arrived and more of it keeps coming. */
-bool LrPeers_IsReceivingLong(const LrPeers *peers, LrTime now);
+/* Whether a part of a long message that began at that time or later has
+ * arrived, and more of it keeps coming. */
+bool LrPeers_IsReceivingLong(const LrPeers *peers, LrTime since, LrTime now);
 /* Number of open connections, incoming and outgoing. */
 size_t LrPeers_Count(const LrPeers *peers);
 
--- a/liblavenderrail/peer.c
+++ b/liblavenderrail/peer.c
@@ -531,12 +531,13 @@
 }
 
 bool
-LrPeers_IsReceivingLong(const LrPeers *peers, LrTime now)
+LrPeers_IsReceivingLong(const LrPeers *peers, LrTime since, LrTime now)
 {
     const Connection *connection;
     TAILQ_FOREACH(connection, &peers->connections, of_peers)
     {
         if (connection->in->len >= MIN_LONG_FRAME_BYTES &&
+            connection->frame_began_at >= since &&
             now - connection->last_used_at < RECEIVE_PAUSE) {
             return true;
         }
--- a/tests/test_configuration_propagation.cc
+++ b/tests/test_configuration_propagation.cc
@@ -20,30 +20,61 @@
            "\"max_attempts\":2}";
 }
 
-// Sends a daemon frames as a peer does.
+std::string
+length_prefix(size_t n_bytes)
+{
+    uint32_t length = htonl((uint32_t)n_bytes);
+    return {reinterpret_cast<char *>(&length), sizeof(length)};
+}
+
+std::string
+frame_of(const LrRecordDescriptor *spec, const void *message)
+{
+    GByteArray *packed = g_byte_array_new();
+    LrRecord_Pack(spec, message, packed);
+    std::string frame =
+        length_prefix(packed->len) +
+        std::string(reinterpret_cast<char *>(packed->data), packed->len);
+    g_byte_array_unref(packed);
+    return frame;
+}
+
+// A connection to a daemon as a peer opens it.
+class RawPeer {
+  public:
+    RawPeer(const RoutedFleet &fleet, int host)
+        : connection_(fleet.port(host) + PEER_PORT)
+    {
+        LrHelloMsg hello = {};
+        hello.protocol = 1;
+        hello.name = LrStr_FromC("stranger");
+        send(frame_of(&LrHelloMsg_Descriptor, &hello));
+    }
+    void
+    send(const std::string &bytes)
+    {
+        connection_.send(bytes);
+    }
+    // The daemon answers with its own hello message.
+    void
+    wait_for_hello()
+    {
+        connection_.is_closed();
+    }
+
+  private:
+    static constexpr int PEER_PORT = 2;
+    RawCaller connection_;
+};
+
+// Sends a daemon a frame as a peer does.
 void
 send_as_peer(const RoutedFleet &fleet, int host,
              const LrRecordDescriptor *spec, const void *message)
 {
-    constexpr int PEER_PORT = 2;
-    LrHelloMsg hello = {};
-    hello.protocol = 1;
-    hello.name = LrStr_FromC("stranger");
-    RawCaller peer(fleet.port(host) + PEER_PORT);
-    for (auto [descriptor, record] :
-         {std::pair<const LrRecordDescriptor *, const void *>(
-              &LrHelloMsg_Descriptor, &hello),
-          {spec, message}}) {
-        GByteArray *frame = g_byte_array_new();
-        LrRecord_Pack(descriptor, record, frame);
-        uint32_t length = htonl(frame->len);
-        peer.send(
-            std::string(reinterpret_cast<char *>(&length), sizeof(length)) +
-            std::string(reinterpret_cast<char *>(frame->data), frame->len));
-        g_byte_array_unref(frame);
-    }
-    // The daemon answers with its own hello message.
-    peer.is_closed();
+    RawPeer peer(fleet, host);
+    peer.send(frame_of(spec, message));
+    peer.wait_for_hello();
 }
 
 class ConfigurationPropagation : public testing::Test {
@@ -165,3 +196,31 @@
         EXPECT_FALSE(needs_whole());
     }
 }
+
+// While a part of any long frame was there, peers were not asked for changes.
+TEST_F(ConfigurationPropagation, AnEndlessFrameDoesNotKeepADaemonFromAsking)
+{
+    constexpr int LEARNER = 2;
+    constexpr size_t FRAME_BYTES = 1 << 20;
+    constexpr size_t FIRST_BYTES = 20 << 10;
+    RoutedFleet fleet(BASE + 140, 1, 1);
+    fleet.resize(LEARNER);
+    fleet.start(LEARNER, NO_STORE);
+    fleet.setup();
+    ASSERT_TRUE(eventually([&] { return fleet.serves(LEARNER); }));
+    RawPeer peer(fleet, LEARNER);
+    peer.wait_for_hello();
+    peer.send(length_prefix(FRAME_BYTES) + std::string(FIRST_BYTES, 'x'));
+    std::atomic<bool> done = false;
+    std::thread trickle([&] {
+        while (!done) {
+            peer.send("x");
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    });
+    fleet.config(2, added_route());
+    EXPECT_TRUE(
+        eventually([&] { return is_in_force(fleet, LEARNER, ADDED_ROUTE); }));
+    done = true;
+    trickle.join();
+}
--- a/tests/test_peer.cc
+++ b/tests/test_peer.cc
@@ -106,14 +106,18 @@
     link.limit_rate_to_target(LINK_BYTES_PER_S);
     sender.send(1, false);
     ASSERT_TRUE(run_until([&] { return receiver.received.size() == 1; }));
+    LrTime sent_at = LrClock_Now();
     sender.send(LONG_BYTES, true);
     sender.send(2, false);
     ASSERT_TRUE(run_until([&] { return receiver.received.size() == 2; }));
     EXPECT_LT(receiver.received[1], 100u);
     ASSERT_TRUE(run_until([&] {
-        return LrPeers_IsReceivingLong(receiver.peers, LrClock_Now());
+        return LrPeers_IsReceivingLong(receiver.peers, sent_at, LrClock_Now());
     }));
+    LrTime now = LrClock_Now();
+    EXPECT_FALSE(LrPeers_IsReceivingLong(receiver.peers, now, now));
     ASSERT_TRUE(run_until([&] { return receiver.received.size() == 3; }));
     EXPECT_GT(receiver.received[2], LONG_BYTES);
-    EXPECT_FALSE(LrPeers_IsReceivingLong(receiver.peers, LrClock_Now()));
+    EXPECT_FALSE(
+        LrPeers_IsReceivingLong(receiver.peers, sent_at, LrClock_Now()));
 }
