tests: wait until both daemons know that the target is leaving

RoutedStatements.ATargetThatIsLeavingIsRememberedWhileItsEntryIsAway failed once beside load with one run at the target. Its wait ended when ten requests had passed it by, which is also true while nobody has asked it: then neither daemon knows that it is leaving, and what the test is about can't be seen. By the log the second daemon learns it about 100 ms after the first one, from a probe. The log of the one failure was not kept, so that this is its cause is likely and not shown.

What is asked of the daemons is the same.

--- a/tests/test_routed.cc
+++ b/tests/test_routed.cc
@@ -589,6 +589,18 @@
     EXPECT_EQ(count_runs(fleet, "c1", 60), 0);
 }
 
+// Whether the daemon knows that the target is leaving.
+static bool
+is_leaving(const RoutedFleet &fleet, int daemon, const std::string &target)
+{
+    std::string state = http(fleet.operators(daemon, "/state")).body;
+    size_t at = state.find("\"" + target + "@");
+    const std::string mark = "\"leaving\": ";
+    at = at == std::string::npos ? at : state.find(mark, at);
+    return at != std::string::npos &&
+           state.compare(at + mark.size(), 4, "true") == 0;
+}
+
 TEST(RoutedStatements, ATargetThatIsLeavingIsRememberedWhileItsEntryIsAway)
 {
     RoutedFleet fleet(32450, 2);
@@ -598,7 +610,11 @@
     }
     fleet.fault("c2", "pause_ms", 40);
     fleet.fault("c1", "leaving", 1);
-    EXPECT_TRUE(eventually([&] { return count_runs(fleet, "c1", 10) == 0; }));
+    EXPECT_TRUE(eventually([&] {
+        count_runs(fleet, "c1", 10);
+        return is_leaving(fleet, 1, "c1") && is_leaving(fleet, 2, "c1");
+    }));
+    EXPECT_EQ(count_runs(fleet, "c1", 10), 0);
     fleet.control("store?name=copy&value=1");
     fleet.control("entry?id=c1");
     std::this_thread::sleep_for(std::chrono::seconds(1));
