tests: send more orders at once than the other searchers have room for

Beside load (12 waiting for five cores) it failed in 5 of 18 plays, and the state of the daemon showed why: it knew the searcher, ready and not left out, and had used neither it nor the other new one, since callers that a busy machine serves one after the other find room at the two searchers that have connections already.

Now twenty orders come at once while the three others take 300 ms each; they have room for 13. All else is asked and checked as before.

--- a/tests/test_broken_input.cc
+++ b/tests/test_broken_input.cc
@@ -266,11 +266,24 @@
     }
 }
 
+// Calls the function with each of the numbers below n, in a thread each.
+void
+run_at_once(int n, const std::function<void(int)> &func)
+{
+    std::vector<std::thread> threads;
+    for (int i = 0; i < n; i++) {
+        threads.emplace_back(func, i);
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+}
+
 // One of four searchers of a service, and of three of a shard, answers with
 // statuses that are none; callers were answered with them.
 TEST_F(BrokenInput, AStatusThatIsNoneReachesNoCaller)
 {
-    constexpr int N_CALLERS = 8, N_REQUESTS = 25;
+    constexpr int N_CALLERS = 8, N_REQUESTS = 25, N_ORDERS = 20;
     const std::vector<std::string> statuses = {
         "000", "099", "600", "999", "0200", "20", "+20", "2 0", " 200", "2x0"};
     StatusServer single(BASE + 170, statuses);
@@ -286,26 +299,34 @@
         {"c", 1}, {"o", 2}, {"s", 3}, {"w", 3}};
     std::mutex lock;
     std::map<std::string, int> answers;
+    auto ask = [&](int daemon, const std::string &kind,
+                   const std::string &id) {
+        RoutedAnswer answer = fleet->ask(daemon, "/" + kind + "/x", kind + id,
+                                         kind == "o" ? "POST" : "GET");
+        size_t end = answer.head.find('\r');
+        std::lock_guard<std::mutex> guard(lock);
+        answers[kind + " " + answer.head.substr(0, end)]++;
+    };
     auto call = [&](int caller) {
         for (int i = 0; i < N_REQUESTS; i++) {
             for (const auto &[kind, daemon] : daemons) {
-                std::string id =
-                    kind + std::to_string(caller) + "-" + std::to_string(i);
-                RoutedAnswer answer = fleet->ask(daemon, "/" + kind + "/x", id,
-                                                 kind == "o" ? "POST" : "GET");
-                size_t end = answer.head.find('\r');
-                std::lock_guard<std::mutex> guard(lock);
-                answers[kind + " " + answer.head.substr(0, end)]++;
+                ask(daemon, kind,
+                    std::to_string(caller) + "-" + std::to_string(i));
             }
         }
     };
-    std::vector<std::thread> callers;
-    for (int i = 0; i < N_CALLERS; i++) {
-        callers.emplace_back(call, i);
+    // More orders at once than the other searchers of the service have room
+    // for, however slowly this process sends them.
+    for (const char *id : {"c1", "c2", "c3"}) {
+        fleet->fault(id, "pause_ms", 300);
     }
-    for (std::thread &caller : callers) {
-        caller.join();
+    run_at_once(N_ORDERS, [&](int caller) {
+        ask(2, "o", "first" + std::to_string(caller));
+    });
+    for (const char *id : {"c1", "c2", "c3"}) {
+        fleet->fault(id, "pause_ms", 0);
     }
+    run_at_once(N_CALLERS, call);
     int n_bad_gateway = 0;
     for (const auto &[line, n] : answers) {
         bool is_ok = line.substr(2) == "HTTP/1.1 200 OK";
