review: machines that don't read the store learn of a change too late

Cause: a machine begins to read by itself only when the last reading that it has heard of is older than six seconds; a version has to be in force after three. The harness takes ports below those of outgoing connections and tells machines apart at the store.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -53,10 +54,22 @@
         print("%9.3f" % self.now(), *words, file=self.file, flush=True)
 
 
+_given_ports = set()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(12000, 32000)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 async def read_message(reader):
@@ -98,11 +111,27 @@
         self.changed = asyncio.Event()
         self.port = free_port()
         self.address = "127.0.0.1:%d" % self.port
+        # Machines that are turned away, and when each one last read.
+        self.refused = set()
+        self.read_at = {}
 
     async def start(self):
         self.server = await asyncio.start_server(
             self.serve, "127.0.0.1", self.port)
 
+    async def open_for(self, machine):
+        """An address by which the store tells that machine from others."""
+        port = free_port()
+        await asyncio.start_server(
+            lambda reader, writer: self.serve(reader, writer, machine),
+            "127.0.0.1", port)
+        return "127.0.0.1:%d" % port
+
+    def refuse(self, machines):
+        self.refused = set(machines)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _note(self, event):
         self.events.append(event)
         self.changed.set()
@@ -127,14 +156,15 @@
             self._note({"key": key, "revision": self.revision,
                         "deleted": True})
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, machine=None):
         try:
             while True:
                 line, _, _ = await read_message(reader)
                 path, _, query = line.split(" ")[1].partition("?")
                 args = dict(part.partition("=")[::2]
                             for part in query.split("&") if part)
-                status, body = await self.answer(path, args)
+                self.read_at[machine] = self.record.now()
+                status, body = await self.answer(path, args, machine)
                 writer.write(message("HTTP/1.1 %d OK" % status,
                                      [("Content-Type", "application/json")],
                                      json.dumps(body).encode()))
@@ -144,7 +174,9 @@
         finally:
             writer.close()
 
-    async def answer(self, path, args):
+    async def answer(self, path, args, machine):
+        if machine in self.refused:
+            return 503, {}
         prefix = args.get("prefix", "").replace("%2F", "/")
         if path == "/lavenderrail/kv-range":
             after = args.get("after", "").replace("%2F", "/")
@@ -158,6 +190,8 @@
         after = int(args.get("after", "0"))
         until = time.monotonic() + int(args.get("max_wait_ms", "0")) / 1000
         while True:
+            if machine in self.refused:
+                return 503, {}
             events = [e for e in self.events if e["revision"] > after and
                       e["key"].startswith(prefix)]
             left = until - time.monotonic()
@@ -268,6 +302,7 @@
         self.front, self.ready_port, self.control = (
             free_port(), free_port(), free_port())
         self.process = None
+        self.store_address = store.address
 
     def write_settings(self, seeds, first=True):
         """Fills in the template; returns the path of the settings file."""
@@ -277,7 +312,7 @@
             "listen.front": "127.0.0.1:%d" % self.front,
             "listen.ready": "127.0.0.1:%d" % self.ready_port,
             "listen.control": "127.0.0.1:%d" % self.control,
-            "seeds": seeds, "platform.address": self.store.address,
+            "seeds": seeds, "platform.address": self.store_address,
             "bootstrap": "true" if first else "false"})
         with open(os.path.join(ROOT, "deploy", "settings.conf")) as template:
             text = re.sub(r"\{\{([^}]+)\}\}",
@@ -332,7 +367,8 @@
         self.daemons = []
         self.tasks = []
 
-    async def start(self, config, searchers, n_daemons, zones=("z0",)):
+    async def start(self, config, searchers, n_daemons, zones=("z0",),
+                    own_store_addresses=False):
         program = os.path.join(ROOT, "target", "bin", "lavenderraild")
         if not os.access(program, os.X_OK):
             raise Broken("no build of the deploy file")
@@ -350,6 +386,8 @@
                 self.record, self.temporary.name, self.store,
                 "front-%d" % (i + 1), zones[i % len(zones)]))
         for daemon in self.daemons:
+            if own_store_addresses:
+                daemon.store_address = await self.store.open_for(daemon.name)
             daemon.start(self.seeds())
         for daemon in self.daemons:
             await self.wait_ready(daemon)
